--- /dev/null
+++ b/console/src/main/java/io/hornbeamscale/console/package-info.java
@@ -0,0 +1,2 @@
+/** The operator console. */
+package io.hornbeamscale.console;
--- /dev/null
+++ b/core/src/main/java/io/hornbeamscale/core/blackboard/package-info.java
@@ -0,0 +1,2 @@
+/** State that controllers share on the control thread. */
+package io.hornbeamscale.core.blackboard;
--- /dev/null
+++ b/core/src/main/java/io/hornbeamscale/core/dispatch/Dispatcher.java
@@ -0,0 +1,119 @@
+package io.hornbeamscale.core.dispatch;
+
+import io.hornbeamscale.core.error.ErrorKind;
+import io.hornbeamscale.core.error.RunOutcome;
+import io.hornbeamscale.core.id.AttemptId;
+import io.hornbeamscale.core.id.BackendId;
+import io.hornbeamscale.core.id.GrantId;
+import io.hornbeamscale.core.id.RequestId;
+import io.hornbeamscale.core.work.BackendStatus;
+import io.hornbeamscale.core.work.WorkItem;
+import java.util.List;
+
+/**
+ * Decides where the requests of one entry run. Every method returns the actions to carry out, never null. The time is
+ * in milliseconds of the process's monotonic clock. Not safe for use by several threads.
+ */
+public interface Dispatcher {
+    /**
+     * Accepts a new request.
+     *
+     * @param work the request
+     * @param nowMillis the present time
+     * @return the actions to carry out
+     */
+    List<DispatchAction> submit(WorkItem work, long nowMillis);
+
+    /**
+     * Handles a grant. A grant that comes too late is returned to its agent.
+     *
+     * @param backend the granting backend server
+     * @param attempt the attempt
+     * @param grant the grant
+     * @param validMillis how long the grant is valid, in milliseconds from its arrival
+     * @param nowMillis the present time
+     * @return the actions to carry out
+     */
+    List<DispatchAction> granted(BackendId backend, AttemptId attempt, GrantId grant, long validMillis, long nowMillis);
+
+    /**
+     * Handles the refusal of a reservation or of a start.
+     *
+     * @param backend the refusing backend server
+     * @param attempt the attempt
+     * @param kind the reason
+     * @param retryAfterMillis the advised pause in milliseconds, 0 for none
+     * @param nowMillis the present time
+     * @return the actions to carry out
+     */
+    List<DispatchAction> refused(
+            BackendId backend, AttemptId attempt, ErrorKind kind, long retryAfterMillis, long nowMillis);
+
+    /**
+     * Notes tokens that arrived.
+     *
+     * @param attempt the attempt
+     * @param count the number of tokens
+     * @param nowMillis the present time
+     * @return the actions to carry out
+     */
+    List<DispatchAction> tokens(AttemptId attempt, int count, long nowMillis);
+
+    /**
+     * Notes that an attempt has ended with a complete answer.
+     *
+     * @param attempt the attempt
+     * @param nowMillis the present time
+     * @return the actions to carry out
+     */
+    List<DispatchAction> ended(AttemptId attempt, long nowMillis);
+
+    /**
+     * Handles a failed attempt: runs the request again elsewhere or rejects the caller.
+     *
+     * @param attempt the attempt
+     * @param kind the error
+     * @param outcome what is known about the execution
+     * @param isDelivered whether the caller has received part of the answer
+     * @param nowMillis the present time
+     * @return the actions to carry out
+     */
+    List<DispatchAction> failed(
+            AttemptId attempt, ErrorKind kind, RunOutcome outcome, boolean isDelivered, long nowMillis);
+
+    /**
+     * Handles a caller that went away.
+     *
+     * @param request the request
+     * @param nowMillis the present time
+     * @return the actions to carry out
+     */
+    List<DispatchAction> cancelled(RequestId request, long nowMillis);
+
+    /**
+     * Handles the status of a backend server; the first status adds the server.
+     *
+     * @param status the status
+     * @param nowMillis the present time
+     * @return the actions to carry out
+     */
+    List<DispatchAction> status(BackendStatus status, long nowMillis);
+
+    /**
+     * Handles the loss of the connection to a backend server's agent. Waiting reservations go elsewhere; handed-over
+     * attempts are reported through {@link #failed} by the caller of this interface once they are settled.
+     *
+     * @param backend the backend server
+     * @param nowMillis the present time
+     * @return the actions to carry out
+     */
+    List<DispatchAction> lost(BackendId backend, long nowMillis);
+
+    /**
+     * Checks deadlines and pauses. Called every few milliseconds to tens of milliseconds.
+     *
+     * @param nowMillis the present time
+     * @return the actions to carry out
+     */
+    List<DispatchAction> tick(long nowMillis);
+}
--- /dev/null
+++ b/core/src/main/java/io/hornbeamscale/core/id/AttemptId.java
@@ -0,0 +1,31 @@
+package io.hornbeamscale.core.id;
+
+import io.hornbeamscale.core.util.Arguments;
+
+/**
+ * Identifies one attempt to run a request. A request has at most one live hand-over per attempt.
+ *
+ * @param request the request, not null
+ * @param number the number of the attempt, from 1
+ */
+public record AttemptId(RequestId request, int number) {
+    /** Checks the parts. */
+    public AttemptId {
+        Arguments.notNull(request, "request");
+        Arguments.positive(number, "number");
+    }
+
+    /**
+     * Returns the attempt that follows this one.
+     *
+     * @return the next attempt of the same request
+     */
+    public AttemptId next() {
+        return new AttemptId(request, number + 1);
+    }
+
+    @Override
+    public String toString() {
+        return request + "#" + number;
+    }
+}
--- /dev/null
+++ b/core/src/main/java/io/hornbeamscale/core/id/package-info.java
@@ -0,0 +1,2 @@
+/** Identifiers that processes exchange. */
+package io.hornbeamscale.core.id;
--- /dev/null
+++ b/core/src/main/java/io/hornbeamscale/core/schedule/package-info.java
@@ -0,0 +1,2 @@
+/** Agent side: admission to one engine. */
+package io.hornbeamscale.core.schedule;
--- /dev/null
+++ b/core/src/main/java/io/hornbeamscale/core/util/package-info.java
@@ -0,0 +1,2 @@
+/** Argument checks shared by all packages. */
+package io.hornbeamscale.core.util;
--- /dev/null
+++ b/core/src/main/java/io/hornbeamscale/core/work/package-info.java
@@ -0,0 +1,2 @@
+/** Descriptions of the work that is queued, reserved and run. */
+package io.hornbeamscale.core.work;
--- /dev/null
+++ b/daemon/src/main/java/io/hornbeamscale/daemon/package-info.java
@@ -0,0 +1,2 @@
+/** The entry and agent daemons and the command line. */
+package io.hornbeamscale.daemon;
--- /dev/null
+++ b/measure/src/main/java/io/hornbeamscale/measure/package-info.java
@@ -0,0 +1,2 @@
+/** Scenarios, baselines and benchmarks. */
+package io.hornbeamscale.measure;
--- /dev/null
+++ b/standin/src/main/java/io/hornbeamscale/standin/package-info.java
@@ -0,0 +1,2 @@
+/** Loopback stand-ins of the outside systems, with fault switches. */
+package io.hornbeamscale.standin;
--- /dev/null
+++ b/wire/src/main/java/io/hornbeamscale/wire/package-info.java
@@ -0,0 +1,2 @@
+/** Messages between processes and their framing. */
+package io.hornbeamscale.wire;
