--- /dev/null
+++ b/core/src/main/java/io/hornbeamscale/core/attempt/AttemptLedger.java
@@ -0,0 +1,219 @@
+package io.hornbeamscale.core.attempt;
+
+import io.hornbeamscale.core.error.ErrorKind;
+import io.hornbeamscale.core.error.RunOutcome;
+import io.hornbeamscale.core.id.AttemptId;
+import io.hornbeamscale.core.id.GrantId;
+import io.hornbeamscale.core.util.Arguments;
+import java.util.Iterator;
+import java.util.LinkedHashMap;
+import java.util.List;
+import java.util.Map;
+
+/**
+ * The agent's record of what started. A start is accepted only if it names a grant of this incarnation that is open:
+ * issued to the same attempt, unexpired, unused and not revoked. Whatever is not open is refused for good, so a
+ * revocation needs no memory: it closes the grant. Every method returns the actions to carry out, never null. Not safe
+ * for use by several threads.
+ */
+public final class AttemptLedger {
+    private final long incarnation;
+    private final LedgerLimits limits;
+    private final Map<Long, OpenGrant> open = new LinkedHashMap<>();
+    private final Map<Long, AttemptId> running = new LinkedHashMap<>();
+    private final Map<Long, AttemptId> ended = new LinkedHashMap<>();
+    private final SequenceWindow started;
+    private boolean isDraining;
+
+    /**
+     * Creates an empty ledger.
+     *
+     * @param incarnation the incarnation of the agent
+     * @param limits the bounds, not null
+     */
+    public AttemptLedger(long incarnation, LedgerLimits limits) {
+        this.incarnation = incarnation;
+        this.limits = Arguments.notNull(limits, "limits");
+        started = new SequenceWindow(limits.windowGrants());
+    }
+
+    /**
+     * Opens a grant. Grants must be issued with rising sequence numbers.
+     *
+     * @param attempt the attempt that may start, not null
+     * @param grant the grant, of this incarnation
+     * @param validMillis how long it may be used, in milliseconds
+     * @param nowMillis the present time
+     * @return whether the grant was opened; false while draining, in which case it must not be sent
+     */
+    public boolean granted(AttemptId attempt, GrantId grant, long validMillis, long nowMillis) {
+        Arguments.notNull(attempt, "attempt");
+        if (grant.incarnation() != incarnation || started.isCovered(grant.sequence())) {
+            throw new IllegalArgumentException("grant must be new and of incarnation " + incarnation + ": " + grant);
+        }
+        started.issue(grant.sequence());
+        if (isDraining) {
+            return false;
+        }
+        long expiresMillis = nowMillis + Math.min(validMillis, limits.maxGrantMillis());
+        open.put(grant.sequence(), new OpenGrant(attempt, expiresMillis));
+        return true;
+    }
+
+    /**
+     * Handles the hand-over of a request.
+     *
+     * @param attempt the attempt, not null
+     * @param grant the grant that it presents, not null
+     * @param nowMillis the present time
+     * @return the actions to carry out
+     */
+    public List<LedgerAction> start(AttemptId attempt, GrantId grant, long nowMillis) {
+        if (grant.incarnation() != incarnation) {
+            // An agent of another incarnation may have run an earlier copy of the frame.
+            return refuse(attempt, grant, ErrorKind.GRANT_EXPIRED, RunOutcome.UNKNOWN);
+        }
+        long sequence = grant.sequence();
+        if (started.contains(sequence)) {
+            return List.of(new LedgerAction.RepeatState(attempt, grant, stateOf(attempt, sequence)));
+        }
+        if (!started.isCovered(sequence)) {
+            return refuse(attempt, grant, ErrorKind.GRANT_EXPIRED, RunOutcome.UNKNOWN);
+        }
+        OpenGrant found = open.get(sequence);
+        if (found == null || !found.attempt().equals(attempt) || found.expiresMillis() <= nowMillis) {
+            return refuse(attempt, grant, ErrorKind.GRANT_EXPIRED, RunOutcome.NOT_RUN);
+        }
+        open.remove(sequence);
+        started.add(sequence);
+        running.put(sequence, attempt);
+        return List.of(new LedgerAction.Run(attempt, grant));
+    }
+
+    /**
+     * Takes a start back because the backend server certainly did not receive the request, for example as the
+     * connection was refused. The grant stays used up.
+     *
+     * @param attempt the attempt, not null
+     * @param grant the grant, not null
+     * @param nowMillis the present time
+     * @return the actions to carry out
+     */
+    public List<LedgerAction> notHandedOver(AttemptId attempt, GrantId grant, long nowMillis) {
+        if (grant.incarnation() != incarnation || !running.remove(grant.sequence(), attempt)) {
+            return List.of();
+        }
+        started.remove(grant.sequence());
+        return refuse(attempt, grant, ErrorKind.NO_BACKEND, RunOutcome.NOT_RUN);
+    }
+
+    /**
+     * Notes the end of an attempt, whether complete or failed.
+     *
+     * @param attempt the attempt, not null
+     * @param grant the grant that it used, not null
+     * @param nowMillis the present time
+     * @return the actions to carry out
+     */
+    public List<LedgerAction> ended(AttemptId attempt, GrantId grant, long nowMillis) {
+        if (grant.incarnation() == incarnation && running.remove(grant.sequence(), attempt)) {
+            ended.put(grant.sequence(), attempt);
+            Iterator<Long> oldestFirst = ended.keySet().iterator();
+            while (ended.size() > limits.maxEnded() && oldestFirst.hasNext()) {
+                oldestFirst.next();
+                oldestFirst.remove();
+            }
+        }
+        return List.of();
+    }
+
+    /**
+     * Revokes an attempt, or says how far it has come. The promise is given only for a grant of this incarnation that
+     * was issued and not used; it closes the grant, so a later start is refused.
+     *
+     * @param attempt the attempt, not null
+     * @param grant the grant that the claim or the start named, not null
+     * @param nowMillis the present time
+     * @return the actions to carry out
+     */
+    public List<LedgerAction> revoke(AttemptId attempt, GrantId grant, long nowMillis) {
+        AttemptState state = AttemptState.FORGOTTEN;
+        if (grant.incarnation() == incarnation && started.isCovered(grant.sequence())) {
+            OpenGrant found = open.get(grant.sequence());
+            if (found != null && found.attempt().equals(attempt)) {
+                open.remove(grant.sequence());
+            }
+            state = stateOf(attempt, grant.sequence());
+        }
+        return List.of(new LedgerAction.AnswerRevoke(attempt, grant, state == AttemptState.NEVER_STARTED, state));
+    }
+
+    /**
+     * Closes a grant that its entry returned or that the scheduler withdrew.
+     *
+     * @param attempt the attempt, not null
+     * @param nowMillis the present time
+     * @return the actions to carry out
+     */
+    public List<LedgerAction> cancelled(AttemptId attempt, long nowMillis) {
+        open.values().removeIf(found -> found.attempt().equals(attempt));
+        return List.of();
+    }
+
+    /**
+     * Closes all grants and opens no more.
+     *
+     * @param nowMillis the present time
+     * @return the actions to carry out
+     */
+    public List<LedgerAction> drain(long nowMillis) {
+        isDraining = true;
+        open.clear();
+        return List.of();
+    }
+
+    /**
+     * Drops expired grants.
+     *
+     * @param nowMillis the present time
+     * @return the actions to carry out
+     */
+    public List<LedgerAction> tick(long nowMillis) {
+        open.values().removeIf(found -> found.expiresMillis() <= nowMillis);
+        return List.of();
+    }
+
+    /**
+     * Returns the number of open grants.
+     *
+     * @return the count
+     */
+    public int openGrants() {
+        return open.size();
+    }
+
+    /**
+     * Returns the number of attempts that run.
+     *
+     * @return the count
+     */
+    public int running() {
+        return running.size();
+    }
+
+    private AttemptState stateOf(AttemptId attempt, long sequence) {
+        if (!started.contains(sequence)) {
+            return AttemptState.NEVER_STARTED;
+        }
+        if (attempt.equals(running.get(sequence))) {
+            return AttemptState.RUNNING;
+        }
+        return attempt.equals(ended.get(sequence)) ? AttemptState.ENDED : AttemptState.FORGOTTEN;
+    }
+
+    private static List<LedgerAction> refuse(AttemptId attempt, GrantId grant, ErrorKind kind, RunOutcome outcome) {
+        return List.of(new LedgerAction.RefuseStart(attempt, grant, kind, outcome));
+    }
+
+    private record OpenGrant(AttemptId attempt, long expiresMillis) {}
+}
--- /dev/null
+++ b/core/src/main/java/io/hornbeamscale/core/stream/StreamAssembler.java
@@ -0,0 +1,366 @@
+package io.hornbeamscale.core.stream;
+
+import io.hornbeamscale.core.error.ErrorKind;
+import io.hornbeamscale.core.error.RunOutcome;
+import io.hornbeamscale.core.id.AttemptId;
+import io.hornbeamscale.core.id.BackendId;
+import io.hornbeamscale.core.id.GenerationId;
+import io.hornbeamscale.core.id.GrantId;
+import io.hornbeamscale.core.util.Arguments;
+import java.util.ArrayList;
+import java.util.EnumSet;
+import java.util.List;
+import java.util.Set;
+
+/**
+ * Assembles the response to one request at the entry: every token once, in order, and from one generation. Frames of
+ * another attempt or generation are dropped and counted; a gap is closed by resumption. Every method returns the
+ * actions to carry out, never null. Not safe for use by several threads.
+ */
+public final class StreamAssembler {
+    /** The pause before a resumption is requested again, in milliseconds. */
+    static final long RESUME_RETRY_MILLIS = 1_000;
+
+    /** The time without progress after which a generation counts as lost, in milliseconds. */
+    static final long RESUME_GIVE_UP_MILLIS = 15_000;
+
+    /** The number of tokens between two acknowledgements. */
+    static final int ACK_TOKENS = 64;
+
+    private static final Set<ErrorKind> CURED_BY_ANOTHER_ATTEMPT = EnumSet.of(
+            ErrorKind.BACKEND_FAILED,
+            ErrorKind.GENERATION_LOST,
+            ErrorKind.STREAM_EXPIRED,
+            ErrorKind.OUTCOME_UNKNOWN,
+            ErrorKind.GRANT_EXPIRED,
+            ErrorKind.DRAINING,
+            ErrorKind.REVOKED,
+            ErrorKind.OVERLOADED,
+            ErrorKind.NO_BACKEND);
+
+    private final DeliveryMode mode;
+    private final boolean isRepeatable;
+    private final List<String> whole = new ArrayList<>();
+    private AttemptId attempt;
+    private GenerationId generation;
+    private long nextOffset;
+    private long ackedOffset;
+    private long total = -1;
+    private String finishReason = "";
+    private long resumeSentMillis = -1;
+    private long stalledSinceMillis = -1;
+    private boolean isClosed;
+    private long repeatedTokens;
+    private long foreignFrames;
+    private long gaps;
+
+    /**
+     * Creates an assembler that waits for the first hand-over.
+     *
+     * @param mode how the caller wants the response, not null
+     * @param isRepeatable whether the request may be executed more than once
+     */
+    public StreamAssembler(DeliveryMode mode, boolean isRepeatable) {
+        this.mode = Arguments.notNull(mode, "mode");
+        this.isRepeatable = isRepeatable;
+    }
+
+    /**
+     * Derives the id of the generation that a grant leads to. Entry and agent derive it in the same way, so the entry
+     * knows which generation to accept before the first frame arrives.
+     *
+     * @param backend the granting backend server, not null
+     * @param grant the grant, not null
+     * @return the id, never null
+     */
+    public static GenerationId generationOf(BackendId backend, GrantId grant) {
+        return new GenerationId(backend, grant.incarnation(), grant.sequence());
+    }
+
+    /**
+     * Notes that the request was handed over. Frames of earlier attempts are dropped from now on.
+     *
+     * @param newAttempt the attempt, not null
+     * @param newGeneration the generation that the grant leads to, not null
+     * @param nowMillis the present time
+     * @return the actions to carry out
+     */
+    public List<StreamAction> handedOver(AttemptId newAttempt, GenerationId newGeneration, long nowMillis) {
+        if (!isClosed) {
+            begin(Arguments.notNull(newAttempt, "newAttempt"), Arguments.notNull(newGeneration, "newGeneration"), 0);
+        }
+        return List.of();
+    }
+
+    /**
+     * Continues a stream that the caller resumed, at this or another entry.
+     *
+     * @param newAttempt the attempt that the agent's frames carry, not null
+     * @param last the id of the last event that the caller received, not null
+     * @param nowMillis the present time
+     * @return the actions to carry out
+     */
+    public List<StreamAction> resumed(AttemptId newAttempt, EventId last, long nowMillis) {
+        Arguments.notNull(last, "last");
+        begin(Arguments.notNull(newAttempt, "newAttempt"), last.generation(), last.offset());
+        List<StreamAction> actions = new ArrayList<>();
+        requestResume(actions, nowMillis);
+        return actions;
+    }
+
+    /**
+     * Handles tokens.
+     *
+     * @param fromAttempt the attempt that the frame carries, not null
+     * @param fromGeneration the generation that the frame carries, not null
+     * @param offset the offset of the first token
+     * @param texts the texts of the tokens, not null
+     * @param nowMillis the present time
+     * @return the actions to carry out
+     */
+    public List<StreamAction> tokens(
+            AttemptId fromAttempt, GenerationId fromGeneration, long offset, List<String> texts, long nowMillis) {
+        if (!isCurrent(fromAttempt, fromGeneration)) {
+            foreignFrames++;
+            return List.of();
+        }
+        List<StreamAction> actions = new ArrayList<>();
+        if (offset > nextOffset) {
+            gaps++;
+            requestResume(actions, nowMillis);
+            return actions;
+        }
+        int repeated = (int) Math.min(nextOffset - offset, texts.size());
+        repeatedTokens += repeated;
+        List<String> fresh = List.copyOf(texts.subList(repeated, texts.size()));
+        if (fresh.isEmpty()) {
+            return actions;
+        }
+        nextOffset += fresh.size();
+        resumeSentMillis = -1;
+        stalledSinceMillis = -1;
+        if (mode == DeliveryMode.WHOLE) {
+            whole.addAll(fresh);
+        } else {
+            actions.add(new StreamAction.Deliver(new EventId(generation, nextOffset), fresh));
+        }
+        if (nextOffset - ackedOffset >= ACK_TOKENS) {
+            acknowledge(actions);
+        }
+        completeIfWhole(actions);
+        return actions;
+    }
+
+    /**
+     * Handles the end of the generation.
+     *
+     * @param fromAttempt the attempt that the frame carries, not null
+     * @param fromGeneration the generation that the frame carries, not null
+     * @param totalTokens the number of tokens of the whole generation
+     * @param reason the engine's reason for the end, not null
+     * @param nowMillis the present time
+     * @return the actions to carry out
+     */
+    public List<StreamAction> ended(
+            AttemptId fromAttempt, GenerationId fromGeneration, long totalTokens, String reason, long nowMillis) {
+        if (!isCurrent(fromAttempt, fromGeneration)) {
+            foreignFrames++;
+            return List.of();
+        }
+        List<StreamAction> actions = new ArrayList<>();
+        total = totalTokens;
+        finishReason = Arguments.notNull(reason, "reason");
+        if (nextOffset < total) {
+            gaps++;
+            requestResume(actions, nowMillis);
+        }
+        completeIfWhole(actions);
+        return actions;
+    }
+
+    /**
+     * Handles the failure of the attempt.
+     *
+     * @param fromAttempt the attempt that failed, not null
+     * @param fromGeneration the generation that failed, not null
+     * @param kind the error, not null
+     * @param outcome what is known about the execution, not null
+     * @param nowMillis the present time
+     * @return the actions to carry out
+     */
+    public List<StreamAction> failed(
+            AttemptId fromAttempt, GenerationId fromGeneration, ErrorKind kind, RunOutcome outcome, long nowMillis) {
+        if (!isCurrent(fromAttempt, fromGeneration)) {
+            foreignFrames++;
+            return List.of();
+        }
+        return settle(Arguments.notNull(kind, "kind"), Arguments.notNull(outcome, "outcome"));
+    }
+
+    /**
+     * Handles the loss of the connection that carries the generation.
+     *
+     * @param backend the backend server whose connection was lost, not null
+     * @param nowMillis the present time
+     * @return the actions to carry out
+     */
+    public List<StreamAction> linkLost(BackendId backend, long nowMillis) {
+        List<StreamAction> actions = new ArrayList<>();
+        if (!isClosed && generation != null && generation.backend().equals(backend)) {
+            requestResume(actions, nowMillis);
+        }
+        return actions;
+    }
+
+    /**
+     * Repeats an unanswered resumption, and gives the generation up when no answer comes.
+     *
+     * @param nowMillis the present time
+     * @return the actions to carry out
+     */
+    public List<StreamAction> tick(long nowMillis) {
+        if (isClosed || generation == null || resumeSentMillis < 0) {
+            return List.of();
+        }
+        if (nowMillis - stalledSinceMillis >= RESUME_GIVE_UP_MILLIS) {
+            return settle(ErrorKind.GENERATION_LOST, RunOutcome.UNKNOWN);
+        }
+        if (nowMillis - resumeSentMillis < RESUME_RETRY_MILLIS) {
+            return List.of();
+        }
+        resumeSentMillis = -1;
+        List<StreamAction> actions = new ArrayList<>();
+        requestResume(actions, nowMillis);
+        return actions;
+    }
+
+    /**
+     * Returns whether a frame belongs to the attempt that runs now.
+     *
+     * @param fromAttempt the attempt that the frame carries, may be null
+     * @param fromGeneration the generation that the frame carries, may be null
+     * @return whether the frame may be used
+     */
+    public boolean isCurrent(AttemptId fromAttempt, GenerationId fromGeneration) {
+        return !isClosed && generation != null && generation.equals(fromGeneration) && attempt.equals(fromAttempt);
+    }
+
+    /**
+     * Returns whether the response is settled, so that every later frame is dropped.
+     *
+     * @return whether the end or an error was delivered
+     */
+    public boolean isClosed() {
+        return isClosed;
+    }
+
+    /**
+     * Returns whether the caller has received a token of the present generation.
+     *
+     * @return whether the response can no longer move to another generation without the caller's notice
+     */
+    public boolean isDelivered() {
+        return mode != DeliveryMode.WHOLE && nextOffset > 0;
+    }
+
+    /**
+     * Returns the number of tokens received in order.
+     *
+     * @return the offset of the next token
+     */
+    public long nextOffset() {
+        return nextOffset;
+    }
+
+    /**
+     * Returns the number of tokens that arrived more than once.
+     *
+     * @return the count
+     */
+    public long repeatedTokens() {
+        return repeatedTokens;
+    }
+
+    /**
+     * Returns the number of frames of another attempt or generation.
+     *
+     * @return the count
+     */
+    public long foreignFrames() {
+        return foreignFrames;
+    }
+
+    /**
+     * Returns the number of frames that arrived before an earlier one.
+     *
+     * @return the count
+     */
+    public long gaps() {
+        return gaps;
+    }
+
+    private void begin(AttemptId newAttempt, GenerationId newGeneration, long offset) {
+        attempt = newAttempt;
+        generation = newGeneration;
+        nextOffset = offset;
+        ackedOffset = offset;
+        total = -1;
+        resumeSentMillis = -1;
+        stalledSinceMillis = -1;
+        whole.clear();
+    }
+
+    private void requestResume(List<StreamAction> actions, long nowMillis) {
+        if (resumeSentMillis >= 0) {
+            return;
+        }
+        resumeSentMillis = nowMillis;
+        if (stalledSinceMillis < 0) {
+            stalledSinceMillis = nowMillis;
+        }
+        actions.add(new StreamAction.SendResume(generation, nextOffset));
+    }
+
+    private void acknowledge(List<StreamAction> actions) {
+        ackedOffset = nextOffset;
+        actions.add(new StreamAction.SendAck(generation, nextOffset));
+    }
+
+    private void completeIfWhole(List<StreamAction> actions) {
+        if (nextOffset != total) {
+            return;
+        }
+        isClosed = true;
+        if (mode == DeliveryMode.WHOLE) {
+            actions.add(new StreamAction.DeliverWhole(generation, List.copyOf(whole), finishReason));
+        } else {
+            actions.add(new StreamAction.DeliverEnd(new EventId(generation, nextOffset), finishReason));
+        }
+        acknowledge(actions);
+    }
+
+    private List<StreamAction> settle(ErrorKind kind, RunOutcome outcome) {
+        boolean mayRunAgain = isRepeatable || outcome == RunOutcome.NOT_RUN;
+        if (!mayRunAgain || !CURED_BY_ANOTHER_ATTEMPT.contains(kind)) {
+            return close(kind, outcome);
+        }
+        List<StreamAction> actions = new ArrayList<>();
+        if (isDelivered()) {
+            if (mode == DeliveryMode.STREAM) {
+                return close(ErrorKind.GENERATION_LOST, RunOutcome.RAN);
+            }
+            actions.add(new StreamAction.DeliverRestart(new EventId(generation, nextOffset)));
+        }
+        generation = null;
+        nextOffset = 0;
+        whole.clear();
+        actions.add(new StreamAction.RunAgain());
+        return actions;
+    }
+
+    private List<StreamAction> close(ErrorKind kind, RunOutcome outcome) {
+        isClosed = true;
+        RunOutcome known = isDelivered() ? RunOutcome.RAN : outcome;
+        return List.of(new StreamAction.DeliverError(kind, known, isDelivered() ? nextOffset : 0));
+    }
+}
--- /dev/null
+++ b/core/src/main/java/io/hornbeamscale/core/stream/StreamReader.java
@@ -0,0 +1,19 @@
+package io.hornbeamscale.core.stream;
+
+import io.hornbeamscale.core.id.AttemptId;
+import io.hornbeamscale.core.id.NodeId;
+import io.hornbeamscale.core.util.Arguments;
+
+/**
+ * An entry that receives the output of a generation.
+ *
+ * @param entry the entry, not null
+ * @param attempt the attempt that the frames to this entry carry, not null
+ */
+public record StreamReader(NodeId entry, AttemptId attempt) {
+    /** Checks the parts. */
+    public StreamReader {
+        Arguments.notNull(entry, "entry");
+        Arguments.notNull(attempt, "attempt");
+    }
+}
