--- /dev/null
+++ b/core/src/main/java/io/hornbeamscale/core/claim/ClaimCall.java
@@ -0,0 +1,22 @@
+package io.hornbeamscale.core.claim;
+
+import io.hornbeamscale.core.util.Arguments;
+
+/**
+ * A keyed call that is about to be handed over.
+ *
+ * @param key the key, not null
+ * @param fingerprint a digest of method, path and body, not blank
+ * @param owner the attempt and the grant that it will use, not null
+ * @param supersedes the owner of an earlier claim of the same request that certainly never started, or null
+ * @param deadlineMillis when the caller no longer waits
+ */
+public record ClaimCall(
+        ClaimKey key, String fingerprint, ClaimOwner owner, ClaimOwner supersedes, long deadlineMillis) {
+    /** Checks the parts. */
+    public ClaimCall {
+        Arguments.notNull(key, "key");
+        Arguments.notBlank(fingerprint, "fingerprint");
+        Arguments.notNull(owner, "owner");
+    }
+}
--- /dev/null
+++ b/core/src/main/java/io/hornbeamscale/core/claim/ClaimForward.java
@@ -0,0 +1,16 @@
+package io.hornbeamscale.core.claim;
+
+import io.hornbeamscale.core.util.Arguments;
+
+/**
+ * A change that an entry asks the writer of the partition to carry out.
+ *
+ * @param opId a number that the answer repeats
+ * @param op the change, not null
+ */
+public record ClaimForward(long opId, ClaimOp op) {
+    /** Checks the parts. */
+    public ClaimForward {
+        Arguments.notNull(op, "op");
+    }
+}
--- /dev/null
+++ b/core/src/main/java/io/hornbeamscale/core/claim/ClaimRules.java
@@ -0,0 +1,70 @@
+package io.hornbeamscale.core.claim;
+
+/** Applies a change to the claims of a partition. */
+final class ClaimRules {
+    private final ClaimSettings settings;
+
+    ClaimRules(ClaimSettings settings) {
+        this.settings = settings;
+    }
+
+    /** Applies a change to a working copy. A change that needs no write leaves the copy as it is. */
+    Applied apply(ClaimPartition partition, ClaimOp op, long epochMillis) {
+        ClaimRecord found = partition.find(op.key()).orElse(null);
+        if (op.kind() == ClaimOp.Kind.CLAIM) {
+            return claim(partition, op, found, epochMillis);
+        }
+        boolean isOpen =
+                found != null && found.result() == null && found.owner().equals(op.owner());
+        if (!isOpen) {
+            return new Applied(false, ClaimOutcome.of(ClaimOutcome.Kind.SETTLED));
+        }
+        if (op.kind() == ClaimOp.Kind.FINISH) {
+            finish(partition, op, found);
+        } else {
+            partition.remove(op.key());
+        }
+        return new Applied(true, ClaimOutcome.of(ClaimOutcome.Kind.SETTLED));
+    }
+
+    private Applied claim(ClaimPartition partition, ClaimOp op, ClaimRecord found, long epochMillis) {
+        if (found == null) {
+            ClaimRecord fresh = fresh(op, epochMillis);
+            if (partition.bytes() + fresh.size() > settings.maxPartitionBytes()) {
+                return new Applied(false, ClaimOutcome.of(ClaimOutcome.Kind.FULL));
+            }
+            partition.put(op.key(), fresh);
+            return new Applied(true, ClaimOutcome.of(ClaimOutcome.Kind.GRANTED));
+        }
+        if (!found.fingerprint().equals(op.fingerprint())) {
+            return new Applied(false, ClaimOutcome.of(ClaimOutcome.Kind.KEY_REUSED));
+        }
+        if (found.result() != null) {
+            return new Applied(false, new ClaimOutcome(ClaimOutcome.Kind.DONE, found));
+        }
+        if (found.owner().equals(op.owner())) {
+            return new Applied(false, ClaimOutcome.of(ClaimOutcome.Kind.GRANTED));
+        }
+        if (!found.owner().equals(op.supersedes())) {
+            return new Applied(false, new ClaimOutcome(ClaimOutcome.Kind.HELD, found));
+        }
+        partition.put(op.key(), fresh(op, epochMillis));
+        return new Applied(true, ClaimOutcome.of(ClaimOutcome.Kind.GRANTED));
+    }
+
+    private ClaimRecord fresh(ClaimOp op, long epochMillis) {
+        long expiresMillis = epochMillis + settings.retentionMillis() + settings.skewMillis();
+        return new ClaimRecord(op.fingerprint(), op.owner(), epochMillis, expiresMillis, null);
+    }
+
+    /** Adds the result, without its body if the partition has no room for it. */
+    private void finish(ClaimPartition partition, ClaimOp op, ClaimRecord found) {
+        ClaimRecord done = found.withResult(op.result());
+        if (partition.bytes() - found.size() + done.size() > settings.maxPartitionBytes()) {
+            done = found.withResult(op.result().withoutBody());
+        }
+        partition.put(op.key(), done);
+    }
+
+    record Applied(boolean isChanged, ClaimOutcome outcome) {}
+}
--- /dev/null
+++ b/core/src/main/java/io/hornbeamscale/core/claim/package-info.java
@@ -0,0 +1,2 @@
+/** At-most-once execution of keyed calls by claims in the platform's store. */
+package io.hornbeamscale.core.claim;
--- /dev/null
+++ b/core/src/main/java/io/hornbeamscale/core/util/Digests.java
@@ -0,0 +1,46 @@
+package io.hornbeamscale.core.util;
+
+import java.nio.ByteBuffer;
+import java.nio.charset.StandardCharsets;
+import java.security.MessageDigest;
+import java.security.NoSuchAlgorithmException;
+import java.util.Arrays;
+import java.util.Base64;
+
+/** Short digests that stand for longer values. */
+public final class Digests {
+    private static final int DIGEST_BYTES = 16;
+
+    private Digests() {}
+
+    /**
+     * Returns the first 128 bits of the SHA-256 digest over the parts. Each part is preceded by its length, so parts
+     * that differ never yield the same input.
+     *
+     * @param body the last part, not null
+     * @param parts the other parts, not null
+     * @return 22 characters that are safe in URLs and JSON, never null
+     */
+    public static String of(byte[] body, String... parts) {
+        MessageDigest digest = sha256();
+        for (String part : parts) {
+            update(digest, part.getBytes(StandardCharsets.UTF_8));
+        }
+        update(digest, body);
+        byte[] head = Arrays.copyOf(digest.digest(), DIGEST_BYTES);
+        return Base64.getUrlEncoder().withoutPadding().encodeToString(head);
+    }
+
+    private static void update(MessageDigest digest, byte[] bytes) {
+        digest.update(ByteBuffer.allocate(Integer.BYTES).putInt(bytes.length).array());
+        digest.update(bytes);
+    }
+
+    private static MessageDigest sha256() {
+        try {
+            return MessageDigest.getInstance("SHA-256");
+        } catch (NoSuchAlgorithmException e) {
+            throw new IllegalStateException("every Java platform provides SHA-256", e);
+        }
+    }
+}
