Add quarantine of crashing requests and fencing of commands

Change: CrashLog (agent) and QuarantineController (entry) with suspects, conviction at the second crash, clearing by intersection, and convictions in one store value; FenceGuard, which compares the number in the store before each command.

One conviction costs one store write with two entries (QuarantineControllerTest). The test found that an entry which was only told of a conviction did not clear the other suspects; fixed here.

--- a/core/src/main/java/io/hornbeamscale/core/claim/ClaimNeed.java
+++ b/core/src/main/java/io/hornbeamscale/core/claim/ClaimNeed.java
@@ -16,7 +16,7 @@
     CLAIM;
 
     /**
-     * Decides about a call. Methods that HTTP defines as safe are repeatable whatever the document says.
+     * Decides about a call by the document's list of calls that must not be repeated.
      *
      * @param service the service, not null
      * @param method the HTTP method in upper case, not null
--- /dev/null
+++ b/core/src/main/java/io/hornbeamscale/core/fence/FenceAction.java
@@ -0,0 +1,29 @@
+package io.hornbeamscale.core.fence;
+
+import io.hornbeamscale.core.error.ErrorKind;
+import io.hornbeamscale.core.store.StoreCall;
+
+/** What a fence guard asks its agent to do. */
+public sealed interface FenceAction {
+    /**
+     * Calls the store and passes the reply to {@link FenceGuard#storeReplied}.
+     *
+     * @param call the call
+     */
+    record CallStore(StoreCall call) implements FenceAction {}
+
+    /**
+     * Sends the command to the backend server and reports its end to {@link FenceGuard#commandEnded}.
+     *
+     * @param command the command
+     */
+    record Execute(FencedCommand command) implements FenceAction {}
+
+    /**
+     * Refuses a command; it is not executed.
+     *
+     * @param command the command
+     * @param kind the error
+     */
+    record Refuse(FencedCommand command, ErrorKind kind) implements FenceAction {}
+}
--- /dev/null
+++ b/core/src/main/java/io/hornbeamscale/core/quarantine/Conviction.java
@@ -0,0 +1,16 @@
+package io.hornbeamscale.core.quarantine;
+
+import io.hornbeamscale.core.util.Arguments;
+
+/**
+ * A request that is refused.
+ *
+ * @param fingerprint the request, not null
+ * @param expiresMillis until when it is refused, in milliseconds since the epoch
+ */
+public record Conviction(RequestFingerprint fingerprint, long expiresMillis) {
+    /** Checks the parts. */
+    public Conviction {
+        Arguments.notNull(fingerprint, "fingerprint");
+    }
+}
--- /dev/null
+++ b/core/src/main/java/io/hornbeamscale/core/quarantine/RequestFingerprint.java
@@ -0,0 +1,33 @@
+package io.hornbeamscale.core.quarantine;
+
+import io.hornbeamscale.core.id.CustomerId;
+import io.hornbeamscale.core.util.Arguments;
+import io.hornbeamscale.core.util.Digests;
+
+/**
+ * Recognises a request that is sent again: a digest of customer and body.
+ *
+ * @param digest the digest, not blank
+ */
+public record RequestFingerprint(String digest) {
+    /** Checks the digest. */
+    public RequestFingerprint {
+        Arguments.notBlank(digest, "digest");
+    }
+
+    /**
+     * Returns the fingerprint of a request.
+     *
+     * @param customer the calling customer, not null
+     * @param body the body, not null
+     * @return the fingerprint, never null
+     */
+    public static RequestFingerprint of(CustomerId customer, byte[] body) {
+        return new RequestFingerprint(Digests.of(Arguments.notNull(body, "body"), customer.value()));
+    }
+
+    @Override
+    public String toString() {
+        return digest;
+    }
+}
--- /dev/null
+++ b/core/src/main/java/io/hornbeamscale/core/quarantine/SuspectTable.java
@@ -0,0 +1,104 @@
+package io.hornbeamscale.core.quarantine;
+
+import java.util.ArrayList;
+import java.util.HashSet;
+import java.util.Iterator;
+import java.util.LinkedHashMap;
+import java.util.LinkedHashSet;
+import java.util.List;
+import java.util.Map;
+import java.util.Set;
+
+/** Requests that were in flight at a crash, and the crashes that speak against them. */
+final class SuspectTable {
+    private static final int MAX_SUSPECTS = 4_096;
+    private static final int MAX_CRASHES = 512;
+    private static final long SUSPICION_MILLIS = 3_600_000;
+
+    private final Map<RequestFingerprint, Suspicion> suspects = new LinkedHashMap<>();
+    private final Set<String> seenCrashes = new LinkedHashSet<>();
+
+    boolean isSuspect(RequestFingerprint fingerprint, long nowMillis) {
+        Suspicion suspicion = suspects.get(fingerprint);
+        return suspicion != null && nowMillis - suspicion.sinceMillis() < SUSPICION_MILLIS;
+    }
+
+    boolean clear(RequestFingerprint fingerprint) {
+        return suspects.remove(fingerprint) != null;
+    }
+
+    /** Removes a convicted request, and the suspects of crashes that it explains. */
+    void convicted(RequestFingerprint fingerprint) {
+        Suspicion suspicion = suspects.remove(fingerprint);
+        if (suspicion != null) {
+            suspects.values().removeIf(other -> suspicion.crashes().containsAll(other.crashes()));
+        }
+    }
+
+    /**
+     * Handles a crash and returns the requests that are convicted by it. Of the requests that were suspects before, one
+     * explains the crash; requests beside it are not suspected, and suspects of earlier crashes in which it took part
+     * are cleared.
+     */
+    List<RequestFingerprint> crashed(CrashReport report, Set<RequestFingerprint> known, long nowMillis) {
+        if (!remember(report.crashId())) {
+            return List.of();
+        }
+        Set<RequestFingerprint> inFlight = new HashSet<>(report.inFlight());
+        if (inFlight.stream().anyMatch(known::contains)) {
+            return List.of();
+        }
+        List<RequestFingerprint> repeated = new ArrayList<>();
+        for (RequestFingerprint fingerprint : inFlight) {
+            if (isSuspect(fingerprint, nowMillis)) {
+                repeated.add(fingerprint);
+            }
+        }
+        if (repeated.isEmpty()) {
+            for (RequestFingerprint fingerprint : inFlight) {
+                suspects.put(fingerprint, new Suspicion(Set.of(report.crashId()), nowMillis));
+            }
+            bound();
+            return List.of();
+        }
+        if (repeated.size() == 1) {
+            convicted(repeated.get(0));
+            return repeated;
+        }
+        Set<String> explained = new HashSet<>();
+        for (RequestFingerprint fingerprint : repeated) {
+            explained.addAll(suspects.get(fingerprint).crashes());
+            add(fingerprint, report.crashId(), nowMillis);
+        }
+        suspects.entrySet()
+                .removeIf(entry -> !repeated.contains(entry.getKey())
+                        && explained.containsAll(entry.getValue().crashes()));
+        return List.of();
+    }
+
+    private void add(RequestFingerprint fingerprint, String crashId, long nowMillis) {
+        Set<String> crashes = new HashSet<>(suspects.get(fingerprint).crashes());
+        crashes.add(crashId);
+        suspects.put(fingerprint, new Suspicion(Set.copyOf(crashes), nowMillis));
+    }
+
+    private boolean remember(String crashId) {
+        boolean isNew = seenCrashes.add(crashId);
+        Iterator<String> oldestFirst = seenCrashes.iterator();
+        while (seenCrashes.size() > MAX_CRASHES) {
+            oldestFirst.next();
+            oldestFirst.remove();
+        }
+        return isNew;
+    }
+
+    private void bound() {
+        Iterator<RequestFingerprint> oldestFirst = suspects.keySet().iterator();
+        while (suspects.size() > MAX_SUSPECTS) {
+            oldestFirst.next();
+            oldestFirst.remove();
+        }
+    }
+
+    private record Suspicion(Set<String> crashes, long sinceMillis) {}
+}
--- /dev/null
+++ b/core/src/main/java/io/hornbeamscale/core/quarantine/package-info.java
@@ -0,0 +1,2 @@
+/** Requests that crash backend servers: suspects run alone, convicted requests are refused everywhere. */
+package io.hornbeamscale.core.quarantine;
--- /dev/null
+++ b/core/src/test/java/io/hornbeamscale/core/quarantine/QuarantineControllerTest.java
@@ -0,0 +1,171 @@
+package io.hornbeamscale.core.quarantine;
+
+import static org.junit.jupiter.api.Assertions.assertEquals;
+import static org.junit.jupiter.api.Assertions.assertTrue;
+
+import io.hornbeamscale.core.faults.FakeStore;
+import io.hornbeamscale.core.id.AttemptId;
+import io.hornbeamscale.core.id.BackendId;
+import io.hornbeamscale.core.id.CustomerId;
+import io.hornbeamscale.core.id.RequestId;
+import io.hornbeamscale.core.store.StoreReply;
+import java.nio.charset.StandardCharsets;
+import java.util.List;
+import java.util.Set;
+import java.util.SplittableRandom;
+import java.util.stream.Collectors;
+import org.junit.jupiter.api.Nested;
+import org.junit.jupiter.api.Test;
+import org.junit.jupiter.params.ParameterizedTest;
+import org.junit.jupiter.params.provider.CsvSource;
+
+/** Guards against a request that crashes one engine after the other, and against innocent requests being refused. */
+class QuarantineControllerTest {
+    private final FakeStore store = new FakeStore();
+    private boolean isStoreDown;
+    private final QuarantineController first = controller(1);
+    private final QuarantineController second = controller(2);
+
+    private static QuarantineController controller(long seed) {
+        return new QuarantineController(100_000, 1_000_000, new SplittableRandom(seed));
+    }
+
+    private static RequestFingerprint request(String name) {
+        return new RequestFingerprint(name);
+    }
+
+    private static CrashReport crash(String id, String names) {
+        Set<RequestFingerprint> inFlight = names.chars()
+                .mapToObj(name -> request(Character.toString(name)))
+                .collect(Collectors.toSet());
+        return new CrashReport(id, inFlight);
+    }
+
+    private List<QuarantineAction> pump(QuarantineController controller, long now) {
+        List<QuarantineAction> actions = controller.tick(now);
+        while (!actions.isEmpty() && actions.get(actions.size() - 1) instanceof QuarantineAction.CallStore call) {
+            StoreReply reply = isStoreDown ? new StoreReply.NoAnswer(call.call().key()) : store.apply(call.call(), now);
+            actions = controller.storeReplied(call.call(), reply, now);
+        }
+        return actions;
+    }
+
+    @Nested
+    class Crashed {
+        @ParameterizedTest
+        @CsvSource({
+            // in flight at the first crash, at the second, convicted, suspects
+            "a, a, a, ''",
+            "abc, a, a, ''",
+            "abc, ade, a, ''",
+            "abc, abd, '', ab",
+            "abc, def, '', abcdef",
+        })
+        void findsTheCulpritByIntersection(String before, String after, String convicted, String suspects) {
+            first.crashed(crash("x.1.1", before), 0);
+            first.crashed(crash("y.1.1", after), 1);
+            StringBuilder foundConvicted = new StringBuilder();
+            StringBuilder foundSuspects = new StringBuilder();
+            for (String name : List.of("a", "b", "c", "d", "e", "f")) {
+                Verdict verdict = first.check(request(name), 2);
+                foundConvicted.append(verdict == Verdict.CONVICTED ? name : "");
+                foundSuspects.append(verdict == Verdict.SUSPECT ? name : "");
+            }
+            assertEquals(convicted, foundConvicted.toString());
+            assertEquals(suspects, foundSuspects.toString());
+        }
+
+        @Test
+        void countsARepeatedReportOnce() {
+            first.crashed(crash("x.1.1", "a"), 0);
+            first.crashed(crash("x.1.1", "a"), 1);
+            assertEquals(Verdict.SUSPECT, first.check(request("a"), 2));
+        }
+
+        @Test
+        void tellsTheOtherEntries() {
+            QuarantineAction.SendPeers suspicion = (QuarantineAction.SendPeers)
+                    first.crashed(crash("x.1.1", "ab"), 0).get(0);
+            second.told(suspicion.news(), 1);
+            assertEquals(Verdict.SUSPECT, second.check(request("a"), 2));
+            List<QuarantineAction> actions = second.crashed(crash("y.1.1", "a"), 3);
+            assertEquals(new QuarantineAction.Refuse(request("a")), actions.get(0));
+            first.told(((QuarantineAction.SendPeers) actions.get(1)).news(), 4);
+            assertEquals(Verdict.CONVICTED, first.check(request("a"), 5));
+            assertEquals(Verdict.CLEAR, first.check(request("b"), 5));
+        }
+    }
+
+    @Nested
+    class Completed {
+        @Test
+        void clearsASuspectEverywhere() {
+            first.crashed(crash("x.1.1", "ab"), 0);
+            second.crashed(crash("x.1.1", "ab"), 0);
+            QuarantineAction.SendPeers cleared = (QuarantineAction.SendPeers)
+                    first.completed(request("b"), 1).get(0);
+            second.told(cleared.news(), 2);
+            assertEquals(Verdict.CLEAR, second.check(request("b"), 3));
+            assertEquals(List.of(), first.completed(request("b"), 3));
+        }
+    }
+
+    @Nested
+    class Stored {
+        @Test
+        void survivesTheLossOfAllEntriesWithOneWrite() {
+            for (QuarantineController controller : List.of(first, second)) {
+                controller.crashed(crash("x.1.1", "a"), 0);
+                controller.crashed(crash("y.1.1", "a"), 1);
+            }
+            for (long now = 2; now < 4_000; now += 50) {
+                pump(first, now);
+                pump(second, now);
+            }
+            assertEquals(1, store.writes());
+            QuarantineController late = controller(3);
+            assertEquals(List.of(new QuarantineAction.Refuse(request("a"))), pump(late, 5_000));
+            assertEquals(Verdict.CONVICTED, late.check(request("a"), 5_001));
+            assertEquals(Verdict.CLEAR, late.check(request("a"), 100_001));
+        }
+
+        @Test
+        void isWrittenAfterAnOutage() {
+            isStoreDown = true;
+            first.crashed(crash("x.1.1", "a"), 0);
+            first.crashed(crash("y.1.1", "a"), 1);
+            for (long now = 2; now < 30_000; now += 50) {
+                pump(first, now);
+            }
+            isStoreDown = false;
+            for (long now = 30_000; now < 33_000; now += 50) {
+                pump(first, now);
+            }
+            assertEquals(1, store.writes());
+        }
+    }
+
+    @Nested
+    class Log {
+        @Test
+        void reportsWhatWasInFlightForAWhile() {
+            CrashLog log = new CrashLog(new BackendId("x"), 4);
+            AttemptId attempt = new AttemptId(new RequestId("r"), 1);
+            log.started(attempt, request("a"), 0);
+            log.started(attempt.next(), request("b"), 0);
+            log.ended(attempt, 1);
+            assertEquals(crash("x.4.1", "b"), log.crashed(2).orElseThrow());
+            assertTrue(log.crashed(3).isEmpty());
+            assertEquals(1, log.recent(2 + CrashLog.REPEAT_MILLIS - 1).size());
+            assertEquals(List.of(), log.recent(2 + CrashLog.REPEAT_MILLIS));
+        }
+
+        @Test
+        void tellsCustomersApart() {
+            byte[] body = "same".getBytes(StandardCharsets.UTF_8);
+            RequestFingerprint one = RequestFingerprint.of(new CustomerId("one"), body);
+            assertEquals(one, RequestFingerprint.of(new CustomerId("one"), body));
+            assertTrue(!one.equals(RequestFingerprint.of(new CustomerId("two"), body)));
+        }
+    }
+}
