Add the interleaving harness

Cause: the guarantees need a proof under faults in combination.

Change: a simulation in test code that drives the controllers of several entries and agents with fake engines, plain services and a fake store on a manual clock, decided by a seed.

--- /dev/null
+++ b/core/src/test/java/io/hornbeamscale/core/faults/SimEntry.java
@@ -0,0 +1,523 @@
+package io.hornbeamscale.core.faults;
+
+import io.hornbeamscale.core.attempt.AttemptState;
+import io.hornbeamscale.core.claim.ClaimAction;
+import io.hornbeamscale.core.claim.ClaimCall;
+import io.hornbeamscale.core.claim.ClaimController;
+import io.hornbeamscale.core.claim.ClaimKey;
+import io.hornbeamscale.core.claim.ClaimOwner;
+import io.hornbeamscale.core.claim.ClaimResult;
+import io.hornbeamscale.core.claim.ClaimSettings;
+import io.hornbeamscale.core.drain.DrainAction;
+import io.hornbeamscale.core.drain.DrainController;
+import io.hornbeamscale.core.drain.DrainSign;
+import io.hornbeamscale.core.drain.RunningWork;
+import io.hornbeamscale.core.error.ErrorKind;
+import io.hornbeamscale.core.error.RunOutcome;
+import io.hornbeamscale.core.id.AttemptId;
+import io.hornbeamscale.core.id.GenerationId;
+import io.hornbeamscale.core.id.NodeId;
+import io.hornbeamscale.core.id.RequestId;
+import io.hornbeamscale.core.id.ServiceId;
+import io.hornbeamscale.core.quarantine.QuarantineAction;
+import io.hornbeamscale.core.quarantine.QuarantineController;
+import io.hornbeamscale.core.quarantine.RequestFingerprint;
+import io.hornbeamscale.core.quarantine.Verdict;
+import io.hornbeamscale.core.stream.EventId;
+import io.hornbeamscale.core.stream.StreamAction;
+import io.hornbeamscale.core.stream.StreamAssembler;
+import java.nio.charset.StandardCharsets;
+import java.util.ArrayList;
+import java.util.HashMap;
+import java.util.LinkedHashMap;
+import java.util.List;
+import java.util.Map;
+import java.util.SplittableRandom;
+
+/** An entry that composes the controllers of its side with a simple choice of agents. */
+final class SimEntry extends Node {
+    private static final long RESERVE_MILLIS = 400;
+    private static final long WAIT_MILLIS = 8_000;
+    private static final long SETTLE_MILLIS = 6_000;
+    private static final long ASK_MILLIS = 500;
+    private static final ServiceId SERVICE = new ServiceId("service");
+
+    private ClaimController claims;
+    private QuarantineController quarantine;
+    private DrainController drain;
+    private final Map<RequestId, SimRequest> requests = new LinkedHashMap<>();
+    private final Map<String, Long> drainingAgents = new HashMap<>();
+    private long sequence;
+
+    SimEntry(Simulation sim, String name) {
+        super(sim, name);
+        begin();
+    }
+
+    private void begin() {
+        long skewMillis = sim.random.nextInt(1_000);
+        ClaimSettings settings = new ClaimSettings(2, 100_000, 256, 600_000, 5_000, 20, 1_000_000 + skewMillis);
+        claims = new ClaimController(new NodeId(name), settings, new SplittableRandom(sim.random.nextLong()));
+        claims.members(sim.entryIds(), sim.now);
+        quarantine = new QuarantineController(600_000, 1_000_000, new SplittableRandom(sim.random.nextLong()));
+        drain = new DrainController(20_000);
+        requests.clear();
+        drainingAgents.clear();
+        sequence = 0;
+    }
+
+    @Override
+    void failed() {
+        for (SimRequest request : requests.values()) {
+            sim.after(5, () -> request.caller.connectionLost(request.session));
+        }
+        sim.noteClaims(claims.counters());
+        begin();
+    }
+
+    @Override
+    void restarted() {
+        begin();
+    }
+
+    boolean isAccepting() {
+        return isUp && !isPaused() && !drain.isDraining();
+    }
+
+    void note() {
+        sim.noteClaims(claims.counters());
+    }
+
+    void accept(SimCaller caller, int session, Msg.Call call, EventId last) {
+        RequestId id = new RequestId(name + "." + incarnation + "." + sequence++);
+        SimRequest request = new SimRequest(id, caller, session, call, sim.now + WAIT_MILLIS);
+        if (drain.isDraining()) {
+            caller.error(session, id, ErrorKind.DRAINING, RunOutcome.NOT_RUN);
+            return;
+        }
+        requests.put(id, request);
+        if (isConvicted(request) && sim.defect != Defect.QUARANTINE_IGNORED) {
+            fail(request, ErrorKind.REQUEST_QUARANTINED, RunOutcome.NOT_RUN);
+            return;
+        }
+        if (last == null) {
+            reserve(request);
+            return;
+        }
+        request.attempt = new AttemptId(id, 1);
+        request.agent = sim.agent(last.generation().backend());
+        request.generation = last.generation();
+        request.record.handedOver(request.attempt);
+        request.enter(SimRequest.Phase.HANDED_OVER, sim.now);
+        apply(request, request.assembler.resumed(request.attempt, last, sim.now));
+    }
+
+    private boolean isConvicted(SimRequest request) {
+        return quarantine.check(SimAgent.fingerprint(request.call), sim.now) == Verdict.CONVICTED;
+    }
+
+    private void reserve(SimRequest request) {
+        List<SimAgent> candidates = new ArrayList<>();
+        for (SimAgent agent : sim.agents) {
+            if (!Long.valueOf(agent.incarnation).equals(drainingAgents.get(agent.name))) {
+                candidates.add(agent);
+            }
+        }
+        if (sim.now >= request.deadlineMillis || candidates.isEmpty()) {
+            fail(request, ErrorKind.DEADLINE_EXCEEDED, request.record.outcome());
+            return;
+        }
+        request.agent = candidates.get(sim.random.nextInt(candidates.size()));
+        request.attempt = request.attempt == null ? new AttemptId(request.id, 1) : request.attempt.next();
+        request.grant = null;
+        request.enter(SimRequest.Phase.RESERVING, sim.now);
+        boolean isSuspect = quarantine.check(SimAgent.fingerprint(request.call), sim.now) == Verdict.SUSPECT;
+        send(request.agent, new Msg.Reserve(request.attempt, request.call.kind().isPlain(), isSuspect));
+    }
+
+    @Override
+    void receive(Node from, Msg message) {
+        if (message instanceof Msg.Grant grant) {
+            granted(from, grant);
+        } else if (message instanceof Msg.Refuse refuse) {
+            refused(from, refuse);
+        } else if (message instanceof Msg.Tokens tokens) {
+            tokens(tokens);
+        } else if (message instanceof Msg.End end) {
+            ended(end);
+        } else if (message instanceof Msg.PlainEnd end) {
+            plainEnded(end);
+        } else if (message instanceof Msg.Failed failed) {
+            attemptFailed(failed);
+        } else if (message instanceof Msg.Revoked revoked) {
+            revoked(from, revoked);
+        } else if (message instanceof Msg.Draining) {
+            drainingAgents.put(from.name, from.incarnation);
+        } else if (message instanceof Msg.Crashed crashed) {
+            applyQuarantine(quarantine.crashed(crashed.report(), sim.now));
+        } else if (message instanceof Msg.News news) {
+            applyQuarantine(quarantine.told(news.news(), sim.now));
+        } else if (message instanceof Msg.Forward forward) {
+            applyClaims(claims.forwarded(new NodeId(from.name), forward.forward(), sim.now));
+        } else if (message instanceof Msg.Answer answer) {
+            applyClaims(claims.answered(answer.answer(), sim.now));
+        }
+    }
+
+    private void granted(Node from, Msg.Grant grant) {
+        SimRequest request = requests.get(grant.attempt().request());
+        if (request == null
+                || request.phase != SimRequest.Phase.RESERVING
+                || !request.attempt.equals(grant.attempt())
+                || request.agent != from) {
+            send(from, new Msg.Cancel(grant.attempt()));
+            return;
+        }
+        request.grant = grant.grant();
+        request.generation = StreamAssembler.generationOf(request.agent.backendId, request.grant);
+        if (request.call.kind() != CallKind.KEYED || sim.defect == Defect.CLAIM_NOT_WRITTEN) {
+            handOver(request);
+            return;
+        }
+        request.enter(SimRequest.Phase.CLAIMING, sim.now);
+        request.owner = new ClaimOwner(request.attempt, request.agent.backendId, request.grant);
+        applyClaims(claims.claim(
+                new ClaimCall(
+                        key(request), request.call.body(), request.owner, request.supersedes, request.deadlineMillis),
+                sim.now));
+    }
+
+    private static ClaimKey key(SimRequest request) {
+        return ClaimKey.of(request.call.customer(), SERVICE, request.call.key());
+    }
+
+    private void handOver(SimRequest request) {
+        if (isConvicted(request)) {
+            if (sim.defect != Defect.QUARANTINE_IGNORED) {
+                send(request.agent, new Msg.Cancel(request.attempt));
+                fail(request, ErrorKind.REQUEST_QUARANTINED, request.record.outcome());
+                return;
+            }
+            sim.monitor.convictedRan(request.call.body());
+        }
+        request.record.handedOver(request.attempt);
+        request.enter(SimRequest.Phase.HANDED_OVER, sim.now);
+        request.assembler.handedOver(request.attempt, request.generation, sim.now);
+        Msg.Start start = new Msg.Start(request.attempt, request.grant, request.call);
+        send(request.agent, start);
+        if (sim.isStartDuplicated()) {
+            sim.figures.count(Fault.START_DUPLICATED);
+            SimAgent agent = request.agent;
+            long at = incarnation;
+            sim.after(sim.random.nextInt(3_000), () -> run(at, () -> send(agent, start)));
+        }
+    }
+
+    private void refused(Node from, Msg.Refuse refuse) {
+        if (refuse.kind() == ErrorKind.DRAINING) {
+            drainingAgents.put(from.name, from.incarnation);
+        }
+        SimRequest request = requests.get(refuse.attempt().request());
+        if (request != null
+                && request.phase == SimRequest.Phase.RESERVING
+                && request.attempt.equals(refuse.attempt())) {
+            reserve(request);
+        }
+    }
+
+    private void tokens(Msg.Tokens tokens) {
+        SimRequest request = requests.get(tokens.attempt().request());
+        if (request == null) {
+            return;
+        }
+        if (sim.defect == Defect.OFFSET_NOT_CHECKED && request.call.kind() == CallKind.STREAM) {
+            long next = tokens.offset() + tokens.texts().size();
+            request.caller.tokens(request.session, new EventId(tokens.generation(), next), tokens.texts());
+            return;
+        }
+        boolean isBlind = sim.defect == Defect.GENERATION_NOT_CHECKED && request.generation != null;
+        AttemptId attempt = isBlind ? request.attempt : tokens.attempt();
+        GenerationId generation = isBlind ? request.generation : tokens.generation();
+        apply(request, request.assembler.tokens(attempt, generation, tokens.offset(), tokens.texts(), sim.now));
+    }
+
+    private void ended(Msg.End end) {
+        SimRequest request = requests.get(end.attempt().request());
+        if (request != null) {
+            apply(request, request.assembler.ended(end.attempt(), end.generation(), end.total(), "stop", sim.now));
+        }
+    }
+
+    private void plainEnded(Msg.PlainEnd end) {
+        SimRequest request = requests.get(end.attempt().request());
+        if (request == null || !request.isCurrent(end.attempt(), end.generation())) {
+            return;
+        }
+        if (request.call.kind() == CallKind.KEYED && request.owner != null) {
+            byte[] body = end.response().getBytes(StandardCharsets.UTF_8);
+            ClaimResult result = ClaimResult.of(200, "text/plain", body, 256);
+            applyClaims(claims.finished(key(request), request.owner, result, sim.now));
+        }
+        requests.remove(request.id);
+        request.caller.response(request.session, end.response());
+    }
+
+    private void attemptFailed(Msg.Failed failed) {
+        SimRequest request = requests.get(failed.attempt().request());
+        if (request == null) {
+            return;
+        }
+        request.record.settled(failed.attempt(), failed.outcome());
+        if (!request.call.kind().isPlain()) {
+            boolean isBlind = sim.defect == Defect.GENERATION_NOT_CHECKED && request.isHandedOver();
+            if (isBlind && failed.kind() != ErrorKind.GRANT_EXPIRED) {
+                reserve(request);
+                return;
+            }
+            apply(
+                    request,
+                    request.assembler.failed(
+                            failed.attempt(), failed.generation(), failed.kind(), failed.outcome(), sim.now));
+        } else if (request.isCurrent(failed.attempt(), failed.generation())) {
+            plainFailed(request, failed.kind(), failed.outcome());
+        }
+    }
+
+    private void plainFailed(SimRequest request, ErrorKind kind, RunOutcome outcome) {
+        if (request.call.kind().isRepeatable() || outcome == RunOutcome.NOT_RUN) {
+            request.supersedes = request.owner;
+            reserve(request);
+        } else {
+            fail(request, kind == ErrorKind.GRANT_EXPIRED ? ErrorKind.OUTCOME_UNKNOWN : kind, outcome);
+        }
+    }
+
+    private void revoked(Node from, Msg.Revoked revoked) {
+        if (revoked.isForClaim()) {
+            ClaimOwner holder = new ClaimOwner(revoked.attempt(), ((SimAgent) from).backendId, revoked.grant());
+            ClaimResult result = revoked.response() == null
+                    ? null
+                    : ClaimResult.of(200, "text/plain", revoked.response().getBytes(StandardCharsets.UTF_8), 256);
+            applyClaims(claims.revokeAnswered(holder, revoked.state(), result, sim.now));
+            return;
+        }
+        SimRequest request = requests.get(revoked.attempt().request());
+        GenerationId generation = StreamAssembler.generationOf(((SimAgent) from).backendId, revoked.grant());
+        if (request == null || !request.isCurrent(revoked.attempt(), generation)) {
+            return;
+        }
+        if (revoked.state() == AttemptState.NEVER_STARTED) {
+            request.record.settled(request.attempt, RunOutcome.NOT_RUN);
+            plainFailed(request, ErrorKind.REVOKED, RunOutcome.NOT_RUN);
+        } else if (revoked.state() == AttemptState.ENDED && revoked.response() != null) {
+            plainEnded(new Msg.PlainEnd(revoked.attempt(), generation, revoked.response()));
+        } else if (revoked.state() != AttemptState.RUNNING) {
+            plainFailed(request, ErrorKind.OUTCOME_UNKNOWN, RunOutcome.UNKNOWN);
+        }
+    }
+
+    @Override
+    void linkLost(Node peer) {
+        for (SimRequest request : List.copyOf(requests.values())) {
+            if (request.agent != peer) {
+                continue;
+            }
+            if (request.phase == SimRequest.Phase.RESERVING) {
+                request.phaseMillis -= RESERVE_MILLIS;
+            } else if (request.isHandedOver() && !request.call.kind().isPlain()) {
+                apply(request, request.assembler.linkLost(request.agent.backendId, sim.now));
+            } else if (request.isHandedOver()) {
+                if (sim.defect == Defect.LINK_LOSS_IS_NOT_RUN) {
+                    fail(request, ErrorKind.REVOKED, RunOutcome.NOT_RUN);
+                } else if (request.call.kind() == CallKind.READ) {
+                    reserve(request);
+                } else {
+                    request.isAsking = true;
+                }
+            }
+        }
+    }
+
+    @Override
+    void tick() {
+        for (SimRequest request : List.copyOf(requests.values())) {
+            advance(request);
+        }
+        applyClaims(claims.tick(sim.now));
+        applyQuarantine(quarantine.tick(sim.now));
+        if (drain.isDraining()) {
+            progress();
+        }
+    }
+
+    private void advance(SimRequest request) {
+        long inPhase = sim.now - request.phaseMillis;
+        if (request.phase == SimRequest.Phase.RESERVING) {
+            if (inPhase >= RESERVE_MILLIS) {
+                send(request.agent, new Msg.Cancel(request.attempt));
+                reserve(request);
+            }
+        } else if (request.isHandedOver() && !request.call.kind().isPlain()) {
+            apply(request, request.assembler.tick(sim.now));
+        } else if (request.isHandedOver()) {
+            request.isAsking |= inPhase >= 3_000;
+            if (inPhase >= SETTLE_MILLIS) {
+                plainFailed(request, ErrorKind.OUTCOME_UNKNOWN, RunOutcome.UNKNOWN);
+            } else if (request.isAsking && sim.now - request.askedMillis >= ASK_MILLIS) {
+                request.askedMillis = sim.now;
+                send(request.agent, new Msg.Revoke(request.attempt, request.grant, false));
+            }
+        }
+    }
+
+    void leave() {
+        drain.leaving(DrainSign.STOP_REQUESTED, sim.now);
+    }
+
+    private void progress() {
+        List<RunningWork> work = new ArrayList<>();
+        for (SimRequest request : requests.values()) {
+            if (request.attempt != null) {
+                work.add(new RunningWork(
+                        request.attempt, true, request.call.kind().isRepeatable(), 0, 0));
+            }
+        }
+        for (DrainAction action : drain.progress(work, 0, sim.now)) {
+            if (action instanceof DrainAction.Exit exit) {
+                if (exit.isComplete() && !requests.isEmpty()) {
+                    sim.monitor.truncated(name + " left with open requests");
+                }
+                fail(5_000);
+            } else if (action instanceof DrainAction.EndWork end) {
+                SimRequest request = requests.get(end.attempt().request());
+                if (request != null) {
+                    fail(request, end.kind(), request.record.outcome());
+                }
+            }
+        }
+    }
+
+    private void apply(SimRequest request, List<StreamAction> actions) {
+        for (StreamAction action : actions) {
+            if (action instanceof StreamAction.Deliver deliver) {
+                request.caller.tokens(request.session, deliver.id(), deliver.texts());
+            } else if (action instanceof StreamAction.DeliverEnd) {
+                complete(request);
+                request.caller.streamEnd(request.session);
+            } else if (action instanceof StreamAction.DeliverWhole whole) {
+                complete(request);
+                request.caller.whole(request.session, whole.texts());
+            } else if (action instanceof StreamAction.DeliverRestart) {
+                request.caller.restart(request.session);
+            } else if (action instanceof StreamAction.DeliverError error) {
+                fail(request, error.kind(), error.outcome());
+            } else if (action instanceof StreamAction.RunAgain) {
+                reserve(request);
+            } else if (action instanceof StreamAction.SendAck ack) {
+                send(request.agent, new Msg.Ack(ack.generation(), ack.offset()));
+            } else if (action instanceof StreamAction.SendResume resume) {
+                send(
+                        request.agent,
+                        new Msg.Resume(request.attempt, request.call.customer(), resume.generation(), resume.offset()));
+            }
+        }
+    }
+
+    private void complete(SimRequest request) {
+        requests.remove(request.id);
+        applyQuarantine(quarantine.completed(SimAgent.fingerprint(request.call), sim.now));
+    }
+
+    private void fail(SimRequest request, ErrorKind kind, RunOutcome outcome) {
+        requests.remove(request.id);
+        request.caller.error(request.session, request.id, kind, outcome);
+    }
+
+    private void applyClaims(List<ClaimAction> actions) {
+        for (ClaimAction action : actions) {
+            if (action instanceof ClaimAction.CallStore call) {
+                sim.store.call(
+                        this, call.call(), reply -> applyClaims(claims.storeReplied(call.call(), reply, sim.now)));
+            } else if (action instanceof ClaimAction.Proceed proceed) {
+                proceed(proceed.owner());
+            } else if (action instanceof ClaimAction.Replay replay) {
+                SimRequest request = claiming(replay.owner());
+                if (request != null) {
+                    send(request.agent, new Msg.Cancel(request.attempt));
+                    requests.remove(request.id);
+                    byte[] body = replay.result().body().orElseThrow();
+                    request.caller.response(request.session, new String(body, StandardCharsets.UTF_8));
+                }
+            } else if (action instanceof ClaimAction.Refuse refuse) {
+                SimRequest request = claiming(refuse.owner());
+                if (request != null) {
+                    send(request.agent, new Msg.Cancel(request.attempt));
+                    RunOutcome known = request.record.outcome();
+                    fail(request, refuse.kind(), known == RunOutcome.NOT_RUN ? refuse.outcome() : known);
+                }
+            } else if (action instanceof ClaimAction.AskRevoke ask) {
+                ask(ask.holder());
+            } else if (action instanceof ClaimAction.SendForward forward) {
+                send(sim.node(forward.writer()), new Msg.Forward(forward.forward()));
+            } else if (action instanceof ClaimAction.SendAnswer answer) {
+                send(sim.node(answer.entry()), new Msg.Answer(answer.answer()));
+            }
+        }
+    }
+
+    private void ask(ClaimOwner holder) {
+        if (sim.defect == Defect.CLAIM_TAKEN_OVER) {
+            applyClaims(claims.revokeAnswered(holder, AttemptState.NEVER_STARTED, null, sim.now));
+            return;
+        }
+        send(sim.agent(holder.backend()), new Msg.Revoke(holder.attempt(), holder.grant(), true));
+    }
+
+    private void proceed(ClaimOwner owner) {
+        SimRequest request = claiming(owner);
+        if (request != null) {
+            handOver(request);
+        }
+    }
+
+    private SimRequest claiming(ClaimOwner owner) {
+        SimRequest request = requests.get(owner.attempt().request());
+        boolean isClaiming =
+                request != null && request.phase == SimRequest.Phase.CLAIMING && owner.equals(request.owner);
+        return isClaiming ? request : null;
+    }
+
+    private void applyQuarantine(List<QuarantineAction> actions) {
+        for (QuarantineAction action : actions) {
+            if (action instanceof QuarantineAction.CallStore call) {
+                sim.store.call(
+                        this,
+                        call.call(),
+                        reply -> applyQuarantine(quarantine.storeReplied(call.call(), reply, sim.now)));
+            } else if (action instanceof QuarantineAction.SendPeers peers) {
+                for (SimEntry entry : sim.entries) {
+                    if (entry != this) {
+                        send(entry, new Msg.News(peers.news()));
+                    }
+                }
+            } else if (action instanceof QuarantineAction.Refuse refuse) {
+                refuseConvicted(refuse.fingerprint());
+            }
+        }
+    }
+
+    private void refuseConvicted(RequestFingerprint fingerprint) {
+        for (SimRequest request : List.copyOf(requests.values())) {
+            if (request.phase == SimRequest.Phase.RESERVING
+                    && SimAgent.fingerprint(request.call).equals(fingerprint)
+                    && sim.defect != Defect.QUARANTINE_IGNORED) {
+                send(request.agent, new Msg.Cancel(request.attempt));
+                fail(request, ErrorKind.REQUEST_QUARANTINED, request.record.outcome());
+            }
+        }
+    }
+
+    private void send(Node to, Msg message) {
+        sim.network.send(this, to, message);
+    }
+}
--- /dev/null
+++ b/core/src/test/java/io/hornbeamscale/core/faults/SimRequest.java
@@ -0,0 +1,68 @@
+package io.hornbeamscale.core.faults;
+
+import io.hornbeamscale.core.attempt.HandOverRecord;
+import io.hornbeamscale.core.claim.ClaimOwner;
+import io.hornbeamscale.core.id.AttemptId;
+import io.hornbeamscale.core.id.GenerationId;
+import io.hornbeamscale.core.id.GrantId;
+import io.hornbeamscale.core.id.RequestId;
+import io.hornbeamscale.core.stream.DeliveryMode;
+import io.hornbeamscale.core.stream.StreamAssembler;
+
+/** The state of a request at an entry. */
+final class SimRequest {
+    enum Phase {
+        RESERVING,
+        CLAIMING,
+        HANDED_OVER
+    }
+
+    final RequestId id;
+    final SimCaller caller;
+    final int session;
+    final Msg.Call call;
+    final long deadlineMillis;
+    final HandOverRecord record = new HandOverRecord();
+    final StreamAssembler assembler;
+    AttemptId attempt;
+    SimAgent agent;
+    GrantId grant;
+    GenerationId generation;
+    ClaimOwner owner;
+    ClaimOwner supersedes;
+    Phase phase = Phase.RESERVING;
+    long phaseMillis;
+    boolean isAsking;
+    long askedMillis = -1_000;
+
+    SimRequest(RequestId id, SimCaller caller, int session, Msg.Call call, long deadlineMillis) {
+        this.id = id;
+        this.caller = caller;
+        this.session = session;
+        this.call = call;
+        this.deadlineMillis = deadlineMillis;
+        assembler = new StreamAssembler(mode(call.kind()), true);
+    }
+
+    private static DeliveryMode mode(CallKind kind) {
+        return switch (kind) {
+            case STREAM -> DeliveryMode.STREAM;
+            case STREAM_OR_RESTART -> DeliveryMode.STREAM_OR_RESTART;
+            default -> DeliveryMode.WHOLE;
+        };
+    }
+
+    void enter(Phase next, long nowMillis) {
+        phase = next;
+        phaseMillis = nowMillis;
+        isAsking = false;
+    }
+
+    boolean isHandedOver() {
+        return phase == Phase.HANDED_OVER;
+    }
+
+    boolean isCurrent(AttemptId ofAttempt, GenerationId ofGeneration) {
+        return isHandedOver() && ofAttempt.equals(attempt) && ofGeneration.equals(generation);
+    }
+}
--- /dev/null
+++ b/core/src/test/java/io/hornbeamscale/core/faults/Simulation.java
@@ -0,0 +1,333 @@
+package io.hornbeamscale.core.faults;
+
+import io.hornbeamscale.core.claim.ClaimCounters;
+import io.hornbeamscale.core.drain.DrainSign;
+import io.hornbeamscale.core.fence.FencedCommand;
+import io.hornbeamscale.core.id.BackendId;
+import io.hornbeamscale.core.id.CustomerId;
+import io.hornbeamscale.core.id.NodeId;
+import io.hornbeamscale.core.id.RequestId;
+import io.hornbeamscale.core.store.StoreCall;
+import io.hornbeamscale.core.store.StoreReply;
+import java.util.ArrayList;
+import java.util.EnumSet;
+import java.util.HashMap;
+import java.util.List;
+import java.util.Map;
+import java.util.PriorityQueue;
+import java.util.Set;
+import java.util.SplittableRandom;
+
+/** One interleaving: processes, callers and faults on a manual clock, decided by a seed. */
+final class Simulation {
+    private static final List<CallKind> KINDS = List.of(CallKind.values());
+    private static final long TICK_MILLIS = 50;
+    private static final long LATE_TICK_MILLIS = 5_000;
+    private static final long BUSY_MILLIS = 60_000;
+    private static final long END_MILLIS = 230_000;
+    private static final long LEASE_MILLIS = 400;
+
+    /** A run takes some thousand events; many more mean that processes answer each other without end. */
+    private static final long MAX_EVENTS = 300_000;
+
+    final SplittableRandom random;
+    final Defect defect;
+    final Figures figures = new Figures();
+    final Monitor monitor = new Monitor();
+    final Network network = new Network(this);
+    final SimStore store = new SimStore(this);
+    final List<SimEntry> entries = new ArrayList<>();
+    final List<SimAgent> agents = new ArrayList<>();
+    long now;
+    private final Set<Fault> faults;
+    private final PriorityQueue<Event> events = new PriorityQueue<>();
+    private final List<SimCaller> callers = new ArrayList<>();
+    private final Map<String, Long> crashesByBody = new HashMap<>();
+    private final int entryCount;
+    private long nextEvent;
+    private int openCallers;
+    private boolean isDuplicating;
+    private boolean isLosingResults;
+
+    Simulation(long seed, Defect defect, Set<Fault> faults) {
+        random = new SplittableRandom(seed);
+        this.defect = defect;
+        this.faults = faults;
+        entryCount = 2 + random.nextInt(2);
+        int agentCount = 2 + random.nextInt(2);
+        for (int i = 0; i < entryCount; i++) {
+            entries.add(new SimEntry(this, "entry-" + i));
+        }
+        for (int i = 0; i < agentCount; i++) {
+            agents.add(new SimAgent(this, "agent-" + i));
+        }
+    }
+
+    /** Runs to the end and returns the violations. */
+    List<String> run() {
+        addCallers();
+        addFaults();
+        at(TICK_MILLIS, this::tick);
+        while (!events.isEmpty()) {
+            Event event = events.remove();
+            now = event.atMillis();
+            event.action().run();
+            if (nextEvent > MAX_EVENTS) {
+                monitor.hung("more than " + MAX_EVENTS + " events");
+            }
+            if (!monitor.violations.isEmpty()) {
+                break;
+            }
+        }
+        finish();
+        return monitor.violations;
+    }
+
+    private void finish() {
+        for (SimCaller caller : callers) {
+            if (caller.ending == null && monitor.violations.isEmpty()) {
+                monitor.hung(caller.call + " got no answer");
+            }
+            figures.ending(caller.call.kind(), String.valueOf(caller.ending));
+            if (faults.size() <= 1 && !caller.call.isPoison()) {
+                String fault =
+                        faults.isEmpty() ? "NONE" : faults.iterator().next().name();
+                figures.availability(
+                        fault, caller.call.kind(), caller.isServed, caller.endedMillis - caller.sentMillis);
+            }
+        }
+        entries.forEach(SimEntry::note);
+        figures.runs = 1;
+        figures.storeCalls = store.store.calls();
+        monitor.violations.forEach(figures::violation);
+    }
+
+    private void tick() {
+        for (Node node : nodes()) {
+            if (node.isUp && !node.isPaused()) {
+                node.tick();
+            }
+        }
+        boolean isBusy = openCallers > 0 && now < BUSY_MILLIS;
+        if (isBusy) {
+            after(TICK_MILLIS, this::tick);
+        } else if (now < END_MILLIS && (openCallers > 0 || !events.isEmpty())) {
+            after(openCallers > 0 ? 500 : LATE_TICK_MILLIS, this::tick);
+        }
+    }
+
+    private void addCallers() {
+        int count = 2 + random.nextInt(5);
+        for (int i = 0; i < count; i++) {
+            CallKind kind = KINDS.get(random.nextInt(KINDS.size()));
+            CustomerId customer = new CustomerId("customer-" + random.nextInt(2));
+            boolean isPoison = faults.contains(Fault.POISON_REQUEST) && !kind.isPlain() && random.nextInt(3) == 0;
+            Msg.Call call = new Msg.Call(kind, "body-" + i, "key-" + i, isPoison, customer);
+            addCaller(call, isPoison ? 8 : 4, random.nextInt(1_500));
+            if (kind == CallKind.KEYED) {
+                addRivals(call);
+            } else if (isPoison) {
+                addCaller(call, 8, random.nextInt(1_500));
+            }
+        }
+    }
+
+    /** Adds callers that use the same key at the same time or later, with the same or another body. */
+    private void addRivals(Msg.Call call) {
+        int choice = random.nextInt(4);
+        if (choice == 0 || choice == 1) {
+            addCaller(call, 4, random.nextInt(choice == 0 ? 1_500 : 6_000));
+        } else if (choice == 2) {
+            Msg.Call other = new Msg.Call(call.kind(), call.body() + "-other", call.key(), false, call.customer());
+            addCaller(other, 4, random.nextInt(3_000));
+        }
+    }
+
+    private void addCaller(Msg.Call call, int maxResends, long atMillis) {
+        SimCaller caller = new SimCaller(this, call, maxResends);
+        callers.add(caller);
+        openCallers++;
+        at(atMillis, caller::send);
+    }
+
+    void callerEnded(SimCaller caller) {
+        openCallers--;
+    }
+
+    private void addFaults() {
+        if (faults.isEmpty()) {
+            return;
+        }
+        List<Fault> choices = List.copyOf(EnumSet.copyOf(faults));
+        int count = faults.size() == 1 ? 1 : random.nextInt(6);
+        for (int i = 0; i < count; i++) {
+            Fault fault = choices.get(random.nextInt(choices.size()));
+            at(random.nextInt(2_500), () -> inject(fault));
+        }
+    }
+
+    private void inject(Fault fault) {
+        SimEntry entry = entries.get(random.nextInt(entries.size()));
+        SimAgent agent = agents.get(random.nextInt(agents.size()));
+        Node peer = random.nextInt(4) == 0 ? entries.get(random.nextInt(entries.size())) : agent;
+        long millis = 50L + random.nextInt(4_000);
+        switch (fault) {
+            case LINK_LOST -> network.breakLink(entry, peer, random.nextInt(1_500), false);
+            case OLD_FRAMES -> network.breakLink(entry, peer, random.nextInt(500), true);
+            case LINK_STALLED -> network.stall(entry, peer, millis);
+            case ENTRY_FAILED -> entry.fail(200 + random.nextInt(3_000));
+            case ENTRY_PAUSED -> entry.pause(millis);
+            case ENTRY_STOPPED -> entry.leave();
+            case AGENT_FAILED -> agent.fail(100 + random.nextInt(2_000));
+            case AGENT_PAUSED -> agent.pause(millis);
+            case AGENT_DRAINED -> drain(agent);
+            case AGENT_RECLAIMED -> reclaim(agent, 200 + random.nextInt(2_000));
+            case ENGINE_FAILED -> agent.backend.crash();
+            case RESULT_LOST -> isLosingResults = true;
+            case STORE_DOWN -> store.down(millis * (random.nextInt(4) == 0 ? 10 : 1));
+            case STORE_SLOW -> store.slow(millis * (random.nextInt(4) == 0 ? 10 : 1));
+            case STORE_REPLY_LOST -> store.loseReplies(millis);
+            case STORE_WRITE_LATE -> store.delayWrites(millis);
+            case REGION_CUT_OFF -> cutOff(millis);
+            case START_DUPLICATED -> isDuplicating = true;
+            case LEASE_LAPSED -> commands();
+            default -> {
+                return;
+            }
+        }
+        if (fault != Fault.OLD_FRAMES && fault != Fault.RESULT_LOST && fault != Fault.START_DUPLICATED) {
+            figures.count(fault);
+        }
+    }
+
+    private void drain(SimAgent agent) {
+        if (agent.isUp) {
+            agent.run(agent.incarnation, () -> agent.leave(DrainSign.LISTED_AS_LEAVING));
+        }
+    }
+
+    private void reclaim(SimAgent agent, long noticeMillis) {
+        agent.run(agent.incarnation, () -> agent.reclaim(noticeMillis));
+        long incarnation = agent.incarnation;
+        after(noticeMillis, () -> {
+            agent.backend.streams.clear();
+            if (agent.incarnation == incarnation) {
+                agent.fail(30_000);
+            }
+        });
+    }
+
+    /** Cuts all links between the first and the other nodes of each kind, and the others from the store. */
+    private void cutOff(long millis) {
+        for (Node near : nodes()) {
+            for (Node far : nodes()) {
+                if (near.name.endsWith("-0") && !far.name.endsWith("-0")) {
+                    network.breakLink(near, far, millis, random.nextInt(4) == 0);
+                }
+            }
+            if (!near.name.endsWith("-0")) {
+                store.cutOff(near, millis);
+            }
+        }
+    }
+
+    /** Lets two holders of a lease send commands, some of them after a pause longer than the lease. */
+    private void commands() {
+        for (int i = 0; i < 6; i++) {
+            String owner = "holder-" + random.nextInt(2);
+            SimAgent agent = agents.get(0);
+            after(random.nextInt(3_000), () -> {
+                StoreReply reply = store.store.apply(new StoreCall.AcquireLease("lease", owner, LEASE_MILLIS), now);
+                if (reply instanceof StoreReply.Leased leased) {
+                    long sentMillis = now + random.nextInt(3_000);
+                    FencedCommand command = new FencedCommand(owner + now, leased.fence(), sentMillis + 5_000);
+                    at(sentMillis, () -> agent.run(agent.incarnation, () -> agent.command(command)));
+                }
+            });
+        }
+    }
+
+    boolean isStartDuplicated() {
+        return isDuplicating && random.nextBoolean();
+    }
+
+    boolean isResultLost() {
+        return isLosingResults && random.nextInt(3) == 0;
+    }
+
+    void executed(RequestId request, String onceKey, SimAgent agent) {
+        figures.executions++;
+        if (agent.drainedMillis >= 0) {
+            figures.maxSignToLastStart = Math.max(figures.maxSignToLastStart, now - agent.drainedMillis);
+        }
+        monitor.executed(request, onceKey, agent.drainedMillis >= 0, agent.name);
+    }
+
+    void reservedAfterSign(long millis) {
+        figures.maxSignToLastReserve = Math.max(figures.maxSignToLastReserve, millis);
+    }
+
+    /** Two crashes convict a request; copies at each entry may be on their way by then. */
+    void crashed(String body) {
+        long crashes = crashesByBody.merge(body, 1L, Long::sum);
+        figures.maxCrashesOfOneRequest = Math.max(figures.maxCrashesOfOneRequest, crashes);
+    }
+
+    void noteClaims(ClaimCounters counters) {
+        figures.askedClaims += counters.asked();
+        figures.unavailableClaims += counters.unavailable();
+    }
+
+    void after(long millis, Runnable action) {
+        at(now + millis, action);
+    }
+
+    void at(long atMillis, Runnable action) {
+        events.add(new Event(atMillis, nextEvent++, action));
+    }
+
+    List<Node> nodes() {
+        List<Node> nodes = new ArrayList<>(entries);
+        nodes.addAll(agents);
+        return nodes;
+    }
+
+    Node node(NodeId id) {
+        for (Node node : nodes()) {
+            if (node.name.equals(id.value())) {
+                return node;
+            }
+        }
+        throw new IllegalArgumentException("no node " + id);
+    }
+
+    SimAgent agent(BackendId id) {
+        return (SimAgent) node(new NodeId(id.value()));
+    }
+
+    SimEntry anyEntry() {
+        List<SimEntry> accepting = new ArrayList<>();
+        for (SimEntry entry : entries) {
+            if (entry.isAccepting() || (entry.isUp && random.nextInt(10) == 0)) {
+                accepting.add(entry);
+            }
+        }
+        return accepting.isEmpty() ? null : accepting.get(random.nextInt(accepting.size()));
+    }
+
+    List<NodeId> entryIds() {
+        List<NodeId> ids = new ArrayList<>();
+        for (int i = 0; i < entryCount; i++) {
+            ids.add(new NodeId("entry-" + i));
+        }
+        return ids;
+    }
+
+    private record Event(long atMillis, long order, Runnable action) implements Comparable<Event> {
+        @Override
+        public int compareTo(Event other) {
+            int byTime = Long.compare(atMillis, other.atMillis);
+            return byTime != 0 ? byTime : Long.compare(order, other.order);
+        }
+    }
+}
