--- a/core/src/test/java/io/hornbeamscale/core/faults/Msg.java
+++ b/core/src/test/java/io/hornbeamscale/core/faults/Msg.java
@@ -55,6 +55,6 @@
 
     record Command(FencedCommand command) implements Msg {}
 
-    /** What a caller asks for. */
+    // What a caller asks for.
     record Call(CallKind kind, String body, String key, boolean isPoison, CustomerId customer) {}
 }
--- a/core/src/test/java/io/hornbeamscale/core/faults/SimCaller.java
+++ b/core/src/test/java/io/hornbeamscale/core/faults/SimCaller.java
@@ -55,6 +55,7 @@
                 connectionLost(current);
                 return;
             }
+            entry.connected(this, current);
             entry.run(incarnation, () -> entry.accept(this, current, call, last));
         });
     }
@@ -124,7 +125,8 @@
                 return;
             }
         }
-        end(text, false);
+        // A key used with another body is refused without any fault, so the refusal counts as the due answer.
+        end(text, kind == ErrorKind.KEY_REUSED);
     }
 
     private void retryLater(String reason) {
--- a/core/src/test/java/io/hornbeamscale/core/faults/SimEntry.java
+++ b/core/src/test/java/io/hornbeamscale/core/faults/SimEntry.java
@@ -45,6 +45,7 @@
     private ClaimController claims;
     private QuarantineController quarantine;
     private DrainController drain;
+    private final Map<SimCaller, Integer> connections = new LinkedHashMap<>();
     private final Map<RequestId, SimRequest> requests = new LinkedHashMap<>();
     private final Map<String, Long> drainingAgents = new HashMap<>();
     private long sequence;
@@ -68,9 +69,8 @@
 
     @Override
     void failed() {
-        for (SimRequest request : requests.values()) {
-            sim.after(5, () -> request.caller.connectionLost(request.session));
-        }
+        connections.forEach((caller, session) -> sim.after(5, () -> caller.connectionLost(session)));
+        connections.clear();
         sim.noteClaims(claims.counters());
         begin();
     }
@@ -84,6 +84,11 @@
         return isUp && !isPaused() && !drain.isDraining();
     }
 
+    /** Notes a connection of a caller, which is lost with the process even if the request was not yet read. */
+    void connected(SimCaller caller, int session) {
+        connections.put(caller, session);
+    }
+
     void note() {
         sim.noteClaims(claims.counters());
     }
--- a/core/src/test/java/io/hornbeamscale/core/faults/Simulation.java
+++ b/core/src/test/java/io/hornbeamscale/core/faults/Simulation.java
@@ -173,7 +173,10 @@
         long millis = 50L + random.nextInt(4_000);
         switch (fault) {
             case LINK_LOST -> network.breakLink(entry, peer, random.nextInt(1_500), false);
-            case OLD_FRAMES -> network.breakLink(entry, peer, random.nextInt(500), true);
+            case OLD_FRAMES -> {
+                network.stall(entry, peer, millis);
+                after(millis - 1, () -> network.breakLink(entry, peer, random.nextInt(500), true));
+            }
             case LINK_STALLED -> network.stall(entry, peer, millis);
             case ENTRY_FAILED -> entry.fail(200 + random.nextInt(3_000));
             case ENTRY_PAUSED -> entry.pause(millis);
@@ -233,9 +236,14 @@
 
     /** Lets two holders of a lease send commands, some of them after a pause longer than the lease. */
     private void commands() {
+        SimAgent agent = agents.get(0);
+        if (random.nextBoolean()) {
+            // A restart between two commands must not make the agent forget the higher number.
+            figures.count(Fault.AGENT_FAILED);
+            after(1_000 + random.nextInt(3_000), () -> agent.fail(50 + random.nextInt(200)));
+        }
         for (int i = 0; i < 6; i++) {
             String owner = "holder-" + random.nextInt(2);
-            SimAgent agent = agents.get(0);
             after(random.nextInt(3_000), () -> {
                 StoreReply reply = store.store.apply(new StoreCall.AcquireLease("lease", owner, LEASE_MILLIS), now);
                 if (reply instanceof StoreReply.Leased leased) {
