Add loopback stand-ins for engine, plain service, store, VM list and weights

Cause: the daemons and contract tests need outside systems that can fail on demand, and no third-party server may be used. Change: one small class per system on Undertow, each with a builder, start(), close() and a typed fault switch. Engine streams are deterministic in the prompt; the plain service counts executions per call id.

--- /dev/null
+++ b/standin/src/main/java/io/hornbeamscale/standin/EngineStream.java
@@ -0,0 +1,55 @@
+package io.hornbeamscale.standin;
+
+import java.util.ArrayList;
+import java.util.List;
+
+/** One generation of the engine stand-in. Guarded by the lock of its {@link EngineState}. */
+final class EngineStream {
+    final String id;
+    final String requestId;
+    final String prompt;
+    final int promptTokens;
+    final int maxTokens;
+    final int priority;
+    int emitted;
+    int stallAfter = Integer.MAX_VALUE;
+    int dieAfter = Integer.MAX_VALUE;
+    boolean isRunning;
+    boolean isCancelled;
+    boolean isDead;
+    long endedMillis;
+    private final List<Runnable> listeners = new ArrayList<>();
+
+    EngineStream(String id, String requestId, String prompt, int maxTokens, int priority) {
+        this.id = id;
+        this.requestId = requestId;
+        this.prompt = prompt;
+        this.promptTokens = EngineTokens.count(prompt);
+        this.maxTokens = maxTokens;
+        this.priority = priority;
+    }
+
+    boolean isComplete() {
+        return emitted >= maxTokens;
+    }
+
+    boolean hasEnded() {
+        return isComplete() || isCancelled || isDead;
+    }
+
+    long memory() {
+        return (long) promptTokens + emitted;
+    }
+
+    void listen(Runnable listener) {
+        listeners.add(listener);
+    }
+
+    void unlisten(Runnable listener) {
+        listeners.remove(listener);
+    }
+
+    List<Runnable> listeners() {
+        return List.copyOf(listeners);
+    }
+}
--- /dev/null
+++ b/standin/src/main/java/io/hornbeamscale/standin/EngineTokens.java
@@ -0,0 +1,48 @@
+package io.hornbeamscale.standin;
+
+import io.hornbeamscale.core.util.Arguments;
+
+/** The deterministic output of the engine stand-in. */
+public final class EngineTokens {
+    private EngineTokens() {}
+
+    /**
+     * Returns the text of one token.
+     *
+     * @param prompt the prompt, not null
+     * @param index the index of the token, from 0
+     * @return the text, which starts with a space, never null
+     */
+    public static String text(String prompt, int index) {
+        Arguments.notNull(prompt, "prompt");
+        long mixed = (prompt.hashCode() * 0x9E3779B97F4A7C15L) ^ (index * 0xC2B2AE3D27D4EB4FL);
+        mixed ^= mixed >>> 29;
+        return " t" + index + "-" + Long.toHexString((mixed * 0xBF58476D1CE4E5B9L) >>> 48);
+    }
+
+    /**
+     * Returns the whole text of a response.
+     *
+     * @param prompt the prompt, not null
+     * @param count the number of tokens
+     * @return the text, never null
+     */
+    public static String whole(String prompt, int count) {
+        StringBuilder text = new StringBuilder();
+        for (int i = 0; i < count; i++) {
+            text.append(text(prompt, i));
+        }
+        return text.toString();
+    }
+
+    /**
+     * Counts the tokens of a prompt: its words.
+     *
+     * @param prompt the prompt, not null
+     * @return the number of words, 0 for a blank prompt
+     */
+    public static int count(String prompt) {
+        String stripped = Arguments.notNull(prompt, "prompt").strip();
+        return stripped.isEmpty() ? 0 : stripped.split("\\s+", -1).length;
+    }
+}
--- /dev/null
+++ b/standin/src/main/java/io/hornbeamscale/standin/PlainStandIn.java
@@ -0,0 +1,172 @@
+package io.hornbeamscale.standin;
+
+import io.undertow.server.HttpServerExchange;
+import java.net.InetSocketAddress;
+import java.util.LinkedHashMap;
+import java.util.Map;
+import java.util.concurrent.ConcurrentHashMap;
+import java.util.concurrent.atomic.AtomicLong;
+
+/**
+ * A plain HTTP service. It accepts every method and path and counts executions per call id, which is the
+ * {@code X-Call-Id} header, or else the {@code Idempotency-Key} header. The answer echoes the call id, method, path and
+ * body.
+ */
+public final class PlainStandIn implements AutoCloseable {
+    private final LoopbackServer server;
+    private final FaultSwitch faults = new FaultSwitch();
+    private final FaultFlow flow = new FaultFlow(faults);
+    private final boolean deduplicatesKeys;
+    private final long workMillis;
+    private final Map<String, Integer> executions = new ConcurrentHashMap<>();
+    private final Map<String, Answer> answers = new ConcurrentHashMap<>();
+    private final AtomicLong total = new AtomicLong();
+
+    private PlainStandIn(Builder builder) {
+        deduplicatesKeys = builder.deduplicatesKeys;
+        workMillis = builder.workMillis;
+        server = new LoopbackServer(builder.port, this::handle);
+    }
+
+    /**
+     * Creates a builder.
+     *
+     * @return a builder with port 0, no work time and no deduplication
+     */
+    public static Builder builder() {
+        return new Builder();
+    }
+
+    /**
+     * Starts the service.
+     *
+     * @return the address, with the port in use
+     */
+    public InetSocketAddress start() {
+        return server.start();
+    }
+
+    /**
+     * Returns the fault switch.
+     *
+     * @return the switch, never null
+     */
+    public FaultSwitch faults() {
+        return faults;
+    }
+
+    /**
+     * Returns how often a call was executed.
+     *
+     * @param callId the call id, not null
+     * @return the number of executions
+     */
+    public int executions(String callId) {
+        return executions.getOrDefault(callId, 0);
+    }
+
+    /**
+     * Returns the executions of all calls that carried an id.
+     *
+     * @return a copy: call id to number of executions
+     */
+    public Map<String, Integer> allExecutions() {
+        return Map.copyOf(executions);
+    }
+
+    /**
+     * Returns the number of executions, with or without a call id.
+     *
+     * @return the number of executions
+     */
+    public long totalExecutions() {
+        return total.get();
+    }
+
+    @Override
+    public void close() {
+        server.close();
+    }
+
+    private void handle(HttpServerExchange exchange) {
+        flow.run(exchange, workMillis, body -> execute(exchange, body));
+    }
+
+    private Answer execute(HttpServerExchange exchange, String body) {
+        String key = FaultFlow.header(exchange, "Idempotency-Key");
+        if (deduplicatesKeys && !key.isEmpty()) {
+            return answers.computeIfAbsent(key, k -> executeOnce(exchange, body));
+        }
+        return executeOnce(exchange, body);
+    }
+
+    private Answer executeOnce(HttpServerExchange exchange, String body) {
+        String id = callId(exchange);
+        long number = total.incrementAndGet();
+        int count = id.isEmpty() ? 1 : executions.merge(id, 1, Integer::sum);
+        Map<String, Object> node = new LinkedHashMap<>();
+        node.put("call", id);
+        node.put("method", exchange.getRequestMethod().toString());
+        node.put("path", exchange.getRequestPath());
+        node.put("execution", count);
+        node.put("number", number);
+        node.put("body", body);
+        return new Answer(200, Map.of("Content-Type", "application/json", "X-Call-Id", id), Json.text(node));
+    }
+
+    private static String callId(HttpServerExchange exchange) {
+        String id = FaultFlow.header(exchange, "X-Call-Id");
+        return id.isEmpty() ? FaultFlow.header(exchange, "Idempotency-Key") : id;
+    }
+
+    /** Builds a plain service. */
+    public static final class Builder {
+        private int port;
+        private boolean deduplicatesKeys;
+        private long workMillis;
+
+        private Builder() {}
+
+        /**
+         * Sets the port.
+         *
+         * @param value the port, 0 for a free one
+         * @return this builder
+         */
+        public Builder port(int value) {
+            port = value;
+            return this;
+        }
+
+        /**
+         * Sets whether calls with the same idempotency key are executed once.
+         *
+         * @param value whether the service deduplicates
+         * @return this builder
+         */
+        public Builder deduplicatesKeys(boolean value) {
+            deduplicatesKeys = value;
+            return this;
+        }
+
+        /**
+         * Sets how long one execution takes.
+         *
+         * @param value the time, in milliseconds
+         * @return this builder
+         */
+        public Builder workMillis(long value) {
+            workMillis = value;
+            return this;
+        }
+
+        /**
+         * Creates the service.
+         *
+         * @return a service that is not started
+         */
+        public PlainStandIn build() {
+            return new PlainStandIn(this);
+        }
+    }
+}
--- /dev/null
+++ b/standin/src/main/java/io/hornbeamscale/standin/StreamPump.java
@@ -0,0 +1,113 @@
+package io.hornbeamscale.standin;
+
+import io.undertow.io.IoCallback;
+import io.undertow.io.Sender;
+import io.undertow.server.HttpServerExchange;
+import java.io.IOException;
+import java.util.LinkedHashMap;
+import java.util.List;
+import java.util.Map;
+
+/** Sends the tokens of one stream to one reader as server-sent events. All sending happens on the I/O thread. */
+final class StreamPump implements IoCallback, Runnable {
+    private final EngineState state;
+    private final EngineStream stream;
+    private final HttpServerExchange exchange;
+    private int next;
+    private boolean isSending;
+    private boolean isDone;
+
+    StreamPump(EngineState state, EngineStream stream, HttpServerExchange exchange, int from) {
+        this.state = state;
+        this.stream = stream;
+        this.exchange = exchange;
+        this.next = from;
+    }
+
+    /** Registers for tokens and sends a comment, so the reader learns the stream id before the first token. */
+    void start() {
+        synchronized (state) {
+            stream.listen(this);
+        }
+        exchange.getIoThread().execute(() -> {
+            isSending = true;
+            exchange.getResponseSender().send(": accepted\n\n", this);
+        });
+    }
+
+    /** Called by the engine after a step. */
+    @Override
+    public void run() {
+        exchange.getIoThread().execute(this::pump);
+    }
+
+    private void pump() {
+        if (isSending || isDone) {
+            return;
+        }
+        String text;
+        boolean isDead;
+        synchronized (state) {
+            isDead = stream.isDead || stream.isCancelled;
+            text = pendingText();
+        }
+        if (text.isEmpty()) {
+            if (isDead) {
+                finish();
+                FaultFlow.drop(exchange);
+            }
+            return;
+        }
+        isSending = true;
+        exchange.getResponseSender().send(text, this);
+    }
+
+    private String pendingText() {
+        StringBuilder text = new StringBuilder();
+        while (next < stream.emitted) {
+            text.append(event(next));
+            next++;
+        }
+        if (stream.isComplete() && !stream.isDead) {
+            text.append("data: [DONE]\n\n");
+            isDone = true;
+        }
+        return text.toString();
+    }
+
+    private String event(int offset) {
+        Map<String, Object> choice = new LinkedHashMap<>();
+        choice.put("index", 0);
+        choice.put("text", EngineTokens.text(stream.prompt, offset));
+        choice.put("finish_reason", offset == stream.maxTokens - 1 ? "length" : null);
+        Map<String, Object> body = new LinkedHashMap<>();
+        body.put("id", stream.id);
+        body.put("object", "text_completion");
+        body.put("choices", List.of(choice));
+        return "id: " + offset + "\ndata: " + Json.text(body) + "\n\n";
+    }
+
+    @Override
+    public void onComplete(HttpServerExchange ex, Sender sender) {
+        isSending = false;
+        if (isDone) {
+            finish();
+            sender.close(IoCallback.END_EXCHANGE);
+            return;
+        }
+        run();
+    }
+
+    @Override
+    public void onException(HttpServerExchange ex, Sender sender, IOException e) {
+        finish();
+        FaultFlow.drop(ex);
+    }
+
+    private void finish() {
+        isDone = true;
+        synchronized (state) {
+            stream.unlisten(this);
+        }
+    }
+}
--- /dev/null
+++ b/standin/src/main/java/io/hornbeamscale/standin/WeightStoreStandIn.java
@@ -0,0 +1,153 @@
+package io.hornbeamscale.standin;
+
+import io.hornbeamscale.core.util.Arguments;
+import io.undertow.server.HttpServerExchange;
+import java.net.InetSocketAddress;
+import java.util.Map;
+import java.util.concurrent.ConcurrentHashMap;
+import java.util.concurrent.atomic.AtomicLong;
+
+/**
+ * A weight store with a rate limit. {@code GET /weights/{name}/{version}} answers with the size, 404 for an unknown
+ * version, or 429 beyond the rate.
+ */
+public final class WeightStoreStandIn implements AutoCloseable {
+    private final LoopbackServer server;
+    private final FaultSwitch faults = new FaultSwitch();
+    private final FaultFlow flow = new FaultFlow(faults);
+    private final Map<String, Long> sizes = new ConcurrentHashMap<>();
+    private final TokenBucket bucket;
+    private final AtomicLong fetches = new AtomicLong();
+    private final AtomicLong throttled = new AtomicLong();
+
+    private WeightStoreStandIn(int port, double fetchesPerSecond) {
+        bucket = new TokenBucket(fetchesPerSecond);
+        server = new LoopbackServer(port, this::handle);
+    }
+
+    /**
+     * Creates a builder.
+     *
+     * @return a builder with port 0 and no rate limit
+     */
+    public static Builder builder() {
+        return new Builder();
+    }
+
+    /**
+     * Starts the weight store.
+     *
+     * @return the address, with the port in use
+     */
+    public InetSocketAddress start() {
+        return server.start();
+    }
+
+    /**
+     * Returns the fault switch.
+     *
+     * @return the switch, never null
+     */
+    public FaultSwitch faults() {
+        return faults;
+    }
+
+    /**
+     * Adds the weights of a version.
+     *
+     * @param name the model or adapter, not blank
+     * @param version the version, not blank
+     * @param sizeBytes the size, in bytes
+     */
+    public void put(String name, String version, long sizeBytes) {
+        sizes.put(Arguments.notBlank(name, "name") + "/" + Arguments.notBlank(version, "version"), sizeBytes);
+    }
+
+    /**
+     * Returns the number of fetches within the rate.
+     *
+     * @return the number since the start
+     */
+    public long fetches() {
+        return fetches.get();
+    }
+
+    /**
+     * Returns the number of fetches that exceeded the rate.
+     *
+     * @return the number since the start
+     */
+    public long throttled() {
+        return throttled.get();
+    }
+
+    @Override
+    public void close() {
+        server.close();
+    }
+
+    boolean tryFetch(String name, String version) {
+        return get(name + "/" + version).status() == 200;
+    }
+
+    private void handle(HttpServerExchange exchange) {
+        String path = exchange.getRequestPath();
+        if (!path.startsWith("/weights/")) {
+            FaultFlow.send(exchange, Answer.error(404, "not_found"));
+            return;
+        }
+        flow.run(exchange, body -> get(path.substring("/weights/".length())));
+    }
+
+    private Answer get(String key) {
+        if (!bucket.tryTake()) {
+            throttled.incrementAndGet();
+            return new Answer(429, Map.of("Retry-After", "1"), Json.text(Map.of("error", "rate_limited")));
+        }
+        Long size = sizes.get(key);
+        if (size == null) {
+            return Answer.error(404, "unknown_weights");
+        }
+        fetches.incrementAndGet();
+        return Answer.json(200, Map.of("key", key, "sizeBytes", size));
+    }
+
+    /** Builds a weight store. */
+    public static final class Builder {
+        private int port;
+        private double fetchesPerSecond;
+
+        private Builder() {}
+
+        /**
+         * Sets the port.
+         *
+         * @param value the port, 0 for a free one
+         * @return this builder
+         */
+        public Builder port(int value) {
+            port = value;
+            return this;
+        }
+
+        /**
+         * Sets the rate limit.
+         *
+         * @param value fetches per second, 0 for no limit
+         * @return this builder
+         */
+        public Builder fetchesPerSecond(double value) {
+            fetchesPerSecond = value;
+            return this;
+        }
+
+        /**
+         * Creates the weight store.
+         *
+         * @return a weight store that is not started
+         */
+        public WeightStoreStandIn build() {
+            return new WeightStoreStandIn(port, fetchesPerSecond);
+        }
+    }
+}
