Add platform clients, in-memory fakes and contract tests

Cause: daemons and controllers need the store, VM list, weight store and engine commands behind interfaces, with fakes that behave like the real clients. Change: interfaces and clients on Undertow's client with time limits, jittered backoff and a call budget; compare-and-swap is never sent twice. Fakes are in the test-jar. Each contract test runs on the fake and on the client against the stand-in; faults are tables. Command types are in core.reconcile.

--- /dev/null
+++ b/core/src/main/java/io/hornbeamscale/core/reconcile/EngineActual.java
@@ -0,0 +1,23 @@
+package io.hornbeamscale.core.reconcile;
+
+import io.hornbeamscale.core.util.Arguments;
+import java.util.Map;
+
+/**
+ * What an engine reports that it holds.
+ *
+ * @param models model to loaded version, not null
+ * @param adapters adapter to loaded version, not null
+ * @param role the role, not null
+ * @param fence the highest fencing number that the engine has seen
+ * @param isLoading whether a command is still taking effect
+ */
+public record EngineActual(
+        Map<String, String> models, Map<String, String> adapters, String role, long fence, boolean isLoading) {
+    /** Checks and copies the parts. */
+    public EngineActual {
+        models = Map.copyOf(Arguments.notNull(models, "models"));
+        adapters = Map.copyOf(Arguments.notNull(adapters, "adapters"));
+        Arguments.notNull(role, "role");
+    }
+}
--- a/standin/src/main/java/io/hornbeamscale/standin/VmListStandIn.java
+++ b/standin/src/main/java/io/hornbeamscale/standin/VmListStandIn.java
@@ -75,6 +75,13 @@
         history.add(new Snapshot(now(), List.copyOf(vms.values())));
     }
 
+    /** Shows all changes so far, as if the lag had passed. */
+    public synchronized void skipLag() {
+        while (history.size() > 1) {
+            history.removeFirst();
+        }
+    }
+
     @Override
     public void close() {
         server.close();
--- a/standin/src/main/java/io/hornbeamscale/standin/WeightStoreStandIn.java
+++ b/standin/src/main/java/io/hornbeamscale/standin/WeightStoreStandIn.java
@@ -20,8 +20,8 @@
     private final AtomicLong fetches = new AtomicLong();
     private final AtomicLong throttled = new AtomicLong();
 
-    private WeightStoreStandIn(int port, double fetchesPerSecond) {
-        bucket = new TokenBucket(fetchesPerSecond);
+    private WeightStoreStandIn(int port, double fetchesPerSecond, int burst) {
+        bucket = new TokenBucket(fetchesPerSecond, burst);
         server = new LoopbackServer(port, this::handle);
     }
 
@@ -116,6 +116,7 @@
     public static final class Builder {
         private int port;
         private double fetchesPerSecond;
+        private int burst = 1;
 
         private Builder() {}
 
@@ -141,13 +142,24 @@
             return this;
         }
 
+        /**
+         * Sets how many fetches are answered at once after a quiet time.
+         *
+         * @param value the number of fetches, 1 by default
+         * @return this builder
+         */
+        public Builder burst(int value) {
+            burst = value;
+            return this;
+        }
+
         /**
          * Creates the weight store.
          *
          * @return a weight store that is not started
          */
         public WeightStoreStandIn build() {
-            return new WeightStoreStandIn(port, fetchesPerSecond);
+            return new WeightStoreStandIn(port, fetchesPerSecond, burst);
         }
     }
 }
--- /dev/null
+++ b/standin/src/test/java/io/hornbeamscale/standin/HttpEngineCommandsTest.java
@@ -0,0 +1,46 @@
+package io.hornbeamscale.standin;
+
+import static org.junit.jupiter.api.Assertions.assertEquals;
+
+import io.hornbeamscale.core.reconcile.EngineCommand;
+import io.hornbeamscale.platform.CallPolicy;
+import io.hornbeamscale.platform.EngineCommands;
+import io.hornbeamscale.platform.EngineCommandsContract;
+import io.hornbeamscale.platform.HttpEngineCommands;
+import io.hornbeamscale.platform.PlatformIo;
+import java.util.Random;
+import org.junit.jupiter.api.AfterEach;
+import org.junit.jupiter.api.Test;
+
+class HttpEngineCommandsTest extends EngineCommandsContract {
+    private final PlatformIo io = new PlatformIo(new Random(1));
+    private EngineStandIn server;
+
+    @AfterEach
+    void stop() {
+        io.close();
+        server.close();
+    }
+
+    /** Guards against a repeated command that takes effect twice when the first response is lost. */
+    @Test
+    void aLostResponseDoesNotRepeatTheEffect() throws Exception {
+        EngineCommands engine = engine(true);
+        server.faults().arm(new Fault.LoseResponse(), 1);
+        engine.execute(new EngineCommand.LoadModel(1, "m", "v1"))
+                .toCompletableFuture()
+                .get();
+        assertEquals(1, server.executedOrders());
+    }
+
+    @Override
+    protected EngineCommands engine(boolean checksFencing) {
+        server = EngineStandIn.builder().checksFencing(checksFencing).build();
+        return new HttpEngineCommands(io, server.start(), new CallPolicy(2_000, 400, 5, 40));
+    }
+
+    @Override
+    protected void down(boolean isDown) {
+        server.crash();
+    }
+}
--- /dev/null
+++ b/standin/src/test/java/io/hornbeamscale/standin/HttpVmListTest.java
@@ -0,0 +1,49 @@
+package io.hornbeamscale.standin;
+
+import io.hornbeamscale.core.membership.VmRecord;
+import io.hornbeamscale.platform.CallPolicy;
+import io.hornbeamscale.platform.HttpVmList;
+import io.hornbeamscale.platform.PlatformIo;
+import io.hornbeamscale.platform.VmList;
+import io.hornbeamscale.platform.VmListContract;
+import java.util.Random;
+import org.junit.jupiter.api.AfterEach;
+
+class HttpVmListTest extends VmListContract {
+    private static final long LAG_MILLIS = 600_000;
+
+    private final VmListStandIn server =
+            VmListStandIn.builder().lagMillis(LAG_MILLIS).build();
+    private final PlatformIo io = new PlatformIo(new Random(1));
+    private final VmList list = new HttpVmList(io, server.start(), new CallPolicy(2_000, 400, 5, 40));
+
+    @AfterEach
+    void stop() {
+        io.close();
+        server.close();
+    }
+
+    @Override
+    protected VmList list() {
+        return list;
+    }
+
+    @Override
+    protected void put(VmRecord vm) {
+        server.put(vm);
+    }
+
+    @Override
+    protected void passLag() {
+        server.skipLag();
+    }
+
+    @Override
+    protected void down(boolean isDown) {
+        if (isDown) {
+            server.faults().arm(new Fault.LoseResponse());
+        } else {
+            server.faults().clear();
+        }
+    }
+}
--- /dev/null
+++ b/standin/src/test/java/io/hornbeamscale/standin/HttpWeightStoreTest.java
@@ -0,0 +1,41 @@
+package io.hornbeamscale.standin;
+
+import io.hornbeamscale.platform.CallPolicy;
+import io.hornbeamscale.platform.HttpWeightStore;
+import io.hornbeamscale.platform.PlatformIo;
+import io.hornbeamscale.platform.WeightStore;
+import io.hornbeamscale.platform.WeightStoreContract;
+import java.util.Random;
+import org.junit.jupiter.api.AfterEach;
+
+class HttpWeightStoreTest extends WeightStoreContract {
+    private static final double FETCHES_PER_SECOND = 0.001;
+
+    private final WeightStoreStandIn server = WeightStoreStandIn.builder()
+            .fetchesPerSecond(FETCHES_PER_SECOND)
+            .burst(BURST)
+            .build();
+    private final PlatformIo io = new PlatformIo(new Random(1));
+    private final WeightStore store = new HttpWeightStore(io, server.start(), new CallPolicy(2_000, 400, 5, 40));
+
+    @AfterEach
+    void stop() {
+        io.close();
+        server.close();
+    }
+
+    @Override
+    protected WeightStore store() {
+        return store;
+    }
+
+    @Override
+    protected void put(String name, String version, long sizeBytes) {
+        server.put(name, version, sizeBytes);
+    }
+
+    @Override
+    protected void down(boolean isDown) {
+        server.faults().arm(new Fault.Stall(0));
+    }
+}
