--- /dev/null
+++ b/core/src/test/java/io/hornbeamscale/core/membership/MembershipViewTest.java
@@ -0,0 +1,153 @@
+package io.hornbeamscale.core.membership;
+
+import static org.junit.jupiter.api.Assertions.assertEquals;
+import static org.junit.jupiter.api.Assertions.assertFalse;
+import static org.junit.jupiter.api.Assertions.assertTrue;
+
+import io.hornbeamscale.core.id.NodeId;
+import io.hornbeamscale.core.id.RegionId;
+import io.hornbeamscale.core.id.ZoneId;
+import java.util.ArrayList;
+import java.util.List;
+import java.util.Random;
+import java.util.function.Function;
+import java.util.stream.Stream;
+import org.junit.jupiter.api.Nested;
+import org.junit.jupiter.api.Test;
+import org.junit.jupiter.params.ParameterizedTest;
+import org.junit.jupiter.params.provider.Arguments;
+import org.junit.jupiter.params.provider.MethodSource;
+
+/** Guards against new work for a leaving node, and against a node that is never used again after its restart. */
+class MembershipViewTest {
+    private static final NodeId A = new NodeId("a");
+    private static final long ISSUER = 1;
+
+    private final MembershipView view = new MembershipView(vm("self", false), ISSUER, new Random(1));
+
+    static Stream<Arguments> signs() {
+        return Stream.of(
+                sign("list", v -> v.listed(List.of(vm("a", true)), 10)),
+                sign("own statement", v -> v.heard(vm("a", false), 5, true, 10)),
+                sign("reclaim notice or refusal", v -> v.leaving(A, 5, 10)),
+                sign("refusal without incarnation", v -> v.leaving(A, 0, 10)),
+                sign("peer", v -> v.told(List.of(peerSign(5, 1)), 10)),
+                sign("peer without incarnation", v -> v.told(List.of(peerSign(0, 1)), 10)));
+    }
+
+    @ParameterizedTest(name = "{0}")
+    @MethodSource("signs")
+    void everySignStopsWorkAtOnceAndIrreversiblyWithinTheIncarnation(
+            String name, Function<MembershipView, List<MembershipAction>> sign) {
+        view.heard(vm("a", false), 5, false, 0);
+        List<MembershipAction> actions = sign.apply(view);
+        assertTrue(actions.stream().anyMatch(a -> a instanceof MembershipAction.StopWork), name);
+        view.listed(List.of(vm("a", false)), 20);
+        view.heard(vm("a", false), 5, false, 30);
+        view.connectionLost(A, 40);
+        view.heard(vm("a", false), 5, false, 50);
+        assertEquals(MemberState.LEAVING, state());
+    }
+
+    @Nested
+    class NewIncarnation {
+        @Test
+        void isUsedAgain() {
+            view.heard(vm("a", false), 5, false, 0);
+            view.leaving(A, 5, 10);
+            view.heard(vm("a", false), 6, false, 20);
+            assertEquals(MemberState.LIVE, state());
+        }
+
+        @Test
+        void isNotStoppedByLateFramesOfTheOldOne() {
+            view.heard(vm("a", false), 5, false, 0);
+            view.told(List.of(peerSign(0, 1)), 10);
+            view.heard(vm("a", false), 6, false, 20);
+            view.told(List.of(peerSign(0, 1)), 200_000);
+            view.told(List.of(peerSign(5, 2)), 200_000);
+            view.heard(vm("a", false), 5, true, 200_000);
+            view.leaving(A, 5, 200_000);
+            assertEquals(MemberState.LIVE, state());
+        }
+    }
+
+    @Test
+    void aLaggingLineAboutTheReplacedVmIsIgnored() {
+        view.heard(vm("a", false), 5, false, 0);
+        view.heard(
+                new VmRecord(A, "entry", "127.0.0.1:2", new RegionId("amman"), new ZoneId("z"), false), 6, false, 10);
+        view.listed(List.of(vm("a", true)), 20);
+        assertEquals(MemberState.LIVE, state());
+        assertEquals("127.0.0.1:2", view.find(A).orElseThrow().address());
+    }
+
+    @Test
+    void aSignThatComesBeforeTheMemberIsKept() {
+        view.told(List.of(peerSign(0, 1)), 0);
+        view.heard(vm("a", false), 5, false, 10);
+        assertEquals(MemberState.LEAVING, state());
+    }
+
+    @Test
+    void aLostConnectionStopsWorkUntilTheNodeIsHeard() {
+        view.heard(vm("a", false), 5, false, 0);
+        view.connectionLost(A, 10);
+        assertEquals(MemberState.SUSPECT, state());
+        view.listed(List.of(vm("a", false)), 20);
+        assertEquals(MemberState.SUSPECT, state());
+        view.heard(vm("a", false), 5, false, 30);
+        assertEquals(MemberState.LIVE, state());
+    }
+
+    @Test
+    void aSignForTheOwnNodeDrainsItOnce() {
+        List<MembershipAction> actions = new ArrayList<>(view.listed(List.of(vm("self", true)), 0));
+        actions.addAll(view.listed(List.of(vm("self", true)), 10));
+        assertEquals(
+                1,
+                actions.stream()
+                        .filter(a -> a instanceof MembershipAction.DrainSelf)
+                        .count());
+    }
+
+    @Test
+    void anEmptyListRemovesNobodyAndALongAbsenceDoes() {
+        view.listed(List.of(vm("a", false)), 0);
+        view.listed(List.of(), 100_000);
+        assertTrue(view.find(A).isPresent());
+        view.listed(List.of(vm("b", false)), 100_000);
+        assertFalse(view.find(A).isPresent());
+    }
+
+    @Test
+    void exactlyTwoNodesOfARegionWatchTheList() {
+        List<VmRecord> vms =
+                Stream.of("a", "b", "c", "d", "e").map(n -> vm(n, false)).toList();
+        long watchers = vms.stream()
+                .filter(v -> {
+                    MembershipView other = new MembershipView(v, 1, new Random(1));
+                    other.listed(vms, 0);
+                    return other.isWatcher();
+                })
+                .count();
+        assertEquals(2, watchers);
+    }
+
+    private MemberState state() {
+        return view.find(A).orElseThrow().state();
+    }
+
+    private static Arguments sign(String name, Function<MembershipView, List<MembershipAction>> sign) {
+        return Arguments.of(name, sign);
+    }
+
+    private static LeavingSign peerSign(long incarnation, long sequence) {
+        return new LeavingSign(A, incarnation, new NodeId("peer"), ISSUER, sequence);
+    }
+
+    private static VmRecord vm(String name, boolean isLeaving) {
+        return new VmRecord(
+                new NodeId(name), "entry", "127.0.0.1:1", new RegionId("amman"), new ZoneId("amman-a"), isLeaving);
+    }
+}
