Add distribution of document versions and its measurement

Change: ConfigDistributor with VersionGate, entity differences, two watchers per region, one link sender per region, limits on whole documents, and a start that needs the store's confirmed revision or a quorum of holders. A version from the store comes into force only once another node holds it.

--- /dev/null
+++ b/core/src/main/java/io/hornbeamscale/core/distribute/ConfigDelta.java
@@ -0,0 +1,68 @@
+package io.hornbeamscale.core.distribute;
+
+import io.hornbeamscale.core.util.Arguments;
+import java.util.HashMap;
+import java.util.HashSet;
+import java.util.Map;
+import java.util.Optional;
+import java.util.Set;
+
+/**
+ * The difference between two versions, by entity.
+ *
+ * @param fromVersion the version that the difference applies to
+ * @param toVersion the version that results
+ * @param toRevision the revision of the store's key for the resulting version
+ * @param changed name to text of entities that were added or changed, not null
+ * @param removed names of entities that were removed, not null
+ * @param checksum the checksum of the resulting snapshot
+ */
+public record ConfigDelta(
+        long fromVersion,
+        long toVersion,
+        long toRevision,
+        Map<String, String> changed,
+        Set<String> removed,
+        long checksum) {
+    /** Checks and copies the parts. */
+    public ConfigDelta {
+        changed = Map.copyOf(Arguments.notNull(changed, "changed"));
+        removed = Set.copyOf(Arguments.notNull(removed, "removed"));
+    }
+
+    /**
+     * Computes the difference between two snapshots.
+     *
+     * @param from the older snapshot, not null
+     * @param to the newer snapshot, not null
+     * @return the difference
+     */
+    public static ConfigDelta between(ConfigSnapshot from, ConfigSnapshot to) {
+        Map<String, String> changed = new HashMap<>();
+        to.entities().forEach((name, text) -> {
+            if (!text.equals(from.entities().get(name))) {
+                changed.put(name, text);
+            }
+        });
+        Set<String> removed = new HashSet<>(from.entities().keySet());
+        removed.removeAll(to.entities().keySet());
+        return new ConfigDelta(from.version(), to.version(), to.revision(), changed, removed, to.checksum());
+    }
+
+    /**
+     * Applies the difference.
+     *
+     * @param base the snapshot to change, not null
+     * @return the result, empty if the base has another version or the result has another checksum
+     */
+    public Optional<ConfigSnapshot> applyTo(ConfigSnapshot base) {
+        if (Arguments.notNull(base, "base").version() != fromVersion) {
+            return Optional.empty();
+        }
+        Map<String, String> entities = new HashMap<>(base.entities());
+        entities.putAll(changed);
+        entities.keySet().removeAll(removed);
+        ConfigSnapshot result = new ConfigSnapshot(toVersion, toRevision, entities);
+        return result.checksum() == checksum ? Optional.of(result) : Optional.empty();
+    }
+}
--- /dev/null
+++ b/core/src/main/java/io/hornbeamscale/core/distribute/Peer.java
@@ -0,0 +1,19 @@
+package io.hornbeamscale.core.distribute;
+
+import io.hornbeamscale.core.id.NodeId;
+import io.hornbeamscale.core.id.RegionId;
+import io.hornbeamscale.core.util.Arguments;
+
+/**
+ * A node that takes part in distribution.
+ *
+ * @param node the node, not null
+ * @param region its region, not null
+ */
+public record Peer(NodeId node, RegionId region) {
+    /** Checks the parts. */
+    public Peer {
+        Arguments.notNull(node, "node");
+        Arguments.notNull(region, "region");
+    }
+}
--- /dev/null
+++ b/core/src/main/java/io/hornbeamscale/core/distribute/PeerPlan.java
@@ -0,0 +1,117 @@
+package io.hornbeamscale.core.distribute;
+
+import io.hornbeamscale.core.id.NodeId;
+import io.hornbeamscale.core.membership.RendezvousHash;
+import java.util.ArrayList;
+import java.util.Collection;
+import java.util.LinkedHashMap;
+import java.util.List;
+import java.util.Map;
+import java.util.TreeMap;
+import java.util.random.RandomGenerator;
+
+/**
+ * Who talks to whom. The nodes of a region are ranked by rendezvous hashing: ranks 0 and 1 watch the store, rank 0
+ * sends over the paid link, and ranks 0 to 3 are the holders that receive a version first.
+ */
+final class PeerPlan {
+    static final int HOLDERS = 4;
+
+    private static final int WATCHERS = 2;
+
+    private final Peer self;
+    private final RandomGenerator random;
+    private List<NodeId> local = List.of();
+    private List<NodeId> ranks = List.of();
+    private Map<String, List<NodeId>> foreignRanks = Map.of();
+    private Map<NodeId, Peer> known = Map.of();
+
+    PeerPlan(Peer self, RandomGenerator random) {
+        this.self = self;
+        this.random = random;
+        update(List.of());
+    }
+
+    /** Replaces the list of live peers; the own node is part of its region whether or not it is listed. */
+    void update(Collection<Peer> live) {
+        Map<String, List<Peer>> regions = new TreeMap<>();
+        Map<NodeId, Peer> peers = new LinkedHashMap<>();
+        regions.computeIfAbsent(self.region().value(), r -> new ArrayList<>()).add(self);
+        for (Peer peer : live) {
+            if (!peer.node().equals(self.node())) {
+                regions.computeIfAbsent(peer.region().value(), r -> new ArrayList<>())
+                        .add(peer);
+                peers.put(peer.node(), peer);
+            }
+        }
+        known = peers;
+        Map<String, List<NodeId>> others = new TreeMap<>();
+        regions.forEach((region, members) -> {
+            if (!region.equals(self.region().value())) {
+                others.put(region, rank(region, members, WATCHERS));
+            }
+        });
+        foreignRanks = others;
+        List<Peer> mine = regions.get(self.region().value());
+        ranks = rank(self.region().value(), mine, HOLDERS);
+        local = mine.stream()
+                .map(Peer::node)
+                .filter(n -> !n.equals(self.node()))
+                .toList();
+    }
+
+    private static List<NodeId> rank(String region, List<Peer> members, int count) {
+        return RendezvousHash.top(members, p -> p.node().value(), "config/" + region, count).stream()
+                .map(Peer::node)
+                .toList();
+    }
+
+    boolean isWatcher() {
+        int rank = ranks.indexOf(self.node());
+        return rank >= 0 && rank < WATCHERS;
+    }
+
+    boolean isHolder() {
+        return ranks.contains(self.node());
+    }
+
+    boolean isLinkSender() {
+        return ranks.get(0).equals(self.node());
+    }
+
+    boolean isForeign(NodeId node) {
+        Peer peer = known.get(node);
+        return peer != null && !peer.region().equals(self.region());
+    }
+
+    boolean hasLocalPeers() {
+        return !local.isEmpty();
+    }
+
+    /** Returns the nodes of the region that receive a version first, without the own node. */
+    List<NodeId> holders() {
+        return ranks.stream().filter(n -> !n.equals(self.node())).toList();
+    }
+
+    /** Returns the nodes of other regions that take versions from this region's sender. */
+    List<NodeId> foreignWatchers() {
+        List<NodeId> nodes = new ArrayList<>();
+        foreignRanks.values().forEach(nodes::addAll);
+        return nodes;
+    }
+
+    /** Returns distinct random peers of the region. */
+    List<NodeId> randomLocal(int count) {
+        if (local.size() <= count) {
+            return local;
+        }
+        List<NodeId> chosen = new ArrayList<>();
+        while (chosen.size() < count) {
+            NodeId candidate = local.get(random.nextInt(local.size()));
+            if (!chosen.contains(candidate)) {
+                chosen.add(candidate);
+            }
+        }
+        return chosen;
+    }
+}
--- /dev/null
+++ b/core/src/test/java/io/hornbeamscale/core/distribute/ConfigDistributorTest.java
@@ -0,0 +1,196 @@
+package io.hornbeamscale.core.distribute;
+
+import static org.junit.jupiter.api.Assertions.assertEquals;
+import static org.junit.jupiter.api.Assertions.assertFalse;
+import static org.junit.jupiter.api.Assertions.assertTrue;
+
+import io.hornbeamscale.core.id.NodeId;
+import io.hornbeamscale.core.id.RegionId;
+import java.util.ArrayList;
+import java.util.List;
+import java.util.Map;
+import java.util.Random;
+import java.util.stream.Stream;
+import org.junit.jupiter.api.Nested;
+import org.junit.jupiter.api.Test;
+import org.junit.jupiter.params.ParameterizedTest;
+import org.junit.jupiter.params.provider.Arguments;
+import org.junit.jupiter.params.provider.MethodSource;
+
+/** Guards against reversions after a start, and against whole documents where a digest or a difference is enough. */
+class ConfigDistributorTest {
+    private static final RegionId HOME = new RegionId("amman");
+    private static final RegionId AWAY = new RegionId("wadi-musa");
+    private static final NodeId PEER = new NodeId("peer");
+    private static final NodeId OTHER = new NodeId("other");
+    private static final long LATER = 10_000;
+
+    private final ConfigDistributor node = distributor(HOME);
+
+    /** What a starting node has heard, and the version that may be in force after ten seconds; 0 means it waits. */
+    static Stream<Arguments> starts() {
+        return Stream.of(
+                Arguments.of("store confirms the revision of the read value", List.of("check 4", "value 4"), 4),
+                Arguments.of("store reads an older value", List.of("check 5", "value 4"), 0),
+                Arguments.of("older value, then the present one", List.of("check 5", "value 4", "value 5"), 5),
+                Arguments.of("value without a confirmed revision", List.of("value 4"), 0),
+                Arguments.of("store is down and no peer answers", List.of("down"), 0),
+                Arguments.of("store is down and the peers hold a version", List.of("peer 4", "whole 4", "down"), 4),
+                Arguments.of("a peer holds more than was received", List.of("peer 5", "whole 4", "down"), 0),
+                Arguments.of("a peer brings what the store confirms", List.of("peer 5", "check 5", "whole 5"), 5),
+                Arguments.of("a peer holds less than the store confirms", List.of("check 5", "whole 4"), 0));
+    }
+
+    @ParameterizedTest(name = "{0}")
+    @MethodSource("starts")
+    void aStartingNodeAppliesOnlyWhatCannotBeAReversion(String name, List<String> events, long version) {
+        node.peers(List.of(new Peer(PEER, HOME)));
+        node.tick(0);
+        for (String event : events) {
+            apply(event, 100);
+        }
+        for (long now = 200; now <= LATER; now += 100) {
+            node.tick(now);
+        }
+        assertEquals(version, node.versionInForce(), name);
+        assertEquals(version > 0, node.isStarted(), name);
+    }
+
+    @Nested
+    final class Started {
+        private Started() {
+            node.storeRevision(1, 0);
+            node.storeValue(snapshot(1), 0);
+        }
+
+        @Test
+        void appliesAStoreVersionOnlyOnceAPeerHoldsIt() {
+            node.peers(List.of(new Peer(PEER, HOME)));
+            List<DistributeAction> actions = node.storeValue(snapshot(2), 10);
+            assertEquals(1, node.versionInForce());
+            assertTrue(isSent(actions, PEER, ConfigMessage.Digest.class));
+            node.received(PEER, new ConfigMessage.Digest(2, 2, false), 20);
+            assertEquals(2, node.versionInForce());
+        }
+
+        @Test
+        void appliesAStoreVersionWithoutPeersAfterAWhile() {
+            node.peers(List.of(new Peer(PEER, HOME)));
+            node.storeValue(snapshot(2), 10);
+            node.tick(LATER);
+            assertEquals(2, node.versionInForce());
+        }
+
+        @Test
+        void asksOnePeerAtATimeForTheDifference() {
+            node.peers(List.of(new Peer(PEER, HOME), new Peer(OTHER, HOME)));
+            ConfigMessage digest = new ConfigMessage.Digest(2, 2, false);
+            assertTrue(isSent(node.received(PEER, digest, 10), PEER, ConfigMessage.Want.class));
+            assertFalse(isSent(node.received(OTHER, digest, 11), OTHER, ConfigMessage.Want.class));
+            ConfigMessage delta = new ConfigMessage.Delta(ConfigDelta.between(snapshot(1), snapshot(2)));
+            node.received(PEER, delta, 20);
+            assertEquals(2, node.versionInForce());
+        }
+
+        @Test
+        void asksForTheWholeDocumentIfADifferenceDoesNotFit() {
+            node.peers(List.of(new Peer(PEER, HOME)));
+            ConfigSnapshot alien = new ConfigSnapshot(1, 1, snapshot(2).entities());
+            ConfigMessage delta = new ConfigMessage.Delta(ConfigDelta.between(alien, snapshot(2)));
+            List<DistributeAction> actions = node.received(PEER, delta, 10);
+            assertTrue(actions.contains(new DistributeAction.Send(PEER, new ConfigMessage.Want(0))));
+            assertEquals(1, node.versionInForce());
+        }
+
+        @Test
+        void ignoresLowerVersionsFromPeersAndStore() {
+            node.received(PEER, new ConfigMessage.Whole(snapshot(5)), 10);
+            node.received(PEER, new ConfigMessage.Whole(snapshot(3)), 20);
+            node.storeValue(snapshot(4), 30);
+            node.tick(LATER);
+            assertEquals(5, node.versionInForce());
+        }
+
+        @Test
+        void limitsWholeDocumentsSoThatARecoveryIsNoStorm() {
+            int sent = 0;
+            for (int i = 0; i < 100; i++) {
+                sent += count(node.received(new NodeId("n" + i), new ConfigMessage.Want(0), 10));
+            }
+            assertEquals(2, sent);
+        }
+
+        private int count(List<DistributeAction> actions) {
+            return (int) actions.stream()
+                    .filter(a ->
+                            a instanceof DistributeAction.Send send && send.message() instanceof ConfigMessage.Whole)
+                    .count();
+        }
+    }
+
+    @Nested
+    final class Link {
+        private final ConfigDistributor remote = distributor(AWAY);
+
+        private Link() {
+            remote.peers(List.of(new Peer(PEER, HOME)));
+            remote.storeRevision(1, 0);
+            remote.storeValue(snapshot(1), 0);
+        }
+
+        @Test
+        void spareTheStoreWhileAnotherRegionIsHeard() {
+            for (long now = 1_000; now < 30_000; now += 1_000) {
+                remote.received(PEER, new ConfigMessage.Digest(1, 1, false), now);
+                assertFalse(isWatching(remote.tick(now)), "at " + now);
+            }
+            assertTrue(isWatching(remote.tick(40_000)));
+        }
+
+        private boolean isWatching(List<DistributeAction> actions) {
+            return actions.stream().anyMatch(a -> a instanceof DistributeAction.WatchStore);
+        }
+    }
+
+    @Test
+    void aStoreOutageIsFollowedByRisingPauses() {
+        node.storeRevision(0, 0);
+        List<Long> calls = new ArrayList<>();
+        for (long now = 0; now < 60_000; now += 50) {
+            boolean isCalled = node.tick(now).stream().anyMatch(a -> a instanceof DistributeAction.WatchStore);
+            if (isCalled) {
+                calls.add(now);
+                node.storeFailed(now);
+            }
+        }
+        // Pauses double up to 5 s with jitter of a half, so a minute holds at most 30 calls.
+        assertTrue(calls.size() >= 10 && calls.size() <= 30, calls.toString());
+    }
+
+    private void apply(String event, long nowMillis) {
+        String kind = event.replaceAll(" .*", "");
+        long version = kind.equals("down") ? 0 : Long.parseLong(event.substring(kind.length() + 1));
+        switch (kind) {
+            case "check" -> node.storeRevision(version, nowMillis);
+            case "value" -> node.storeValue(snapshot(version), nowMillis);
+            case "peer" -> node.received(PEER, new ConfigMessage.Digest(version, version, false), nowMillis);
+            case "whole" -> node.received(PEER, new ConfigMessage.Whole(snapshot(version)), nowMillis);
+            default -> node.storeFailed(nowMillis);
+        }
+    }
+
+    private static boolean isSent(List<DistributeAction> actions, NodeId peer, Class<?> type) {
+        return actions.stream()
+                .anyMatch(a -> a instanceof DistributeAction.Send send
+                        && send.peer().equals(peer)
+                        && type.isInstance(send.message()));
+    }
+
+    private static ConfigDistributor distributor(RegionId region) {
+        return new ConfigDistributor(new Peer(new NodeId("self"), region), HOME, new Random(1), 0);
+    }
+
+    private static ConfigSnapshot snapshot(long version) {
+        return new ConfigSnapshot(version, version, Map.of("a", "text " + version, "b", "same"));
+    }
+}
--- /dev/null
+++ b/measure/src/test/java/io/hornbeamscale/measure/distribute/DistributeProgramTest.java
@@ -0,0 +1,53 @@
+package io.hornbeamscale.measure.distribute;
+
+import static org.junit.jupiter.api.Assertions.assertEquals;
+import static org.junit.jupiter.api.Assertions.assertTrue;
+
+import java.io.ByteArrayOutputStream;
+import java.io.PrintStream;
+import java.nio.charset.StandardCharsets;
+import org.junit.jupiter.api.Test;
+
+/** Guards against a version that reverts or stays unknown to a node, and against cost that grows too fast. */
+class DistributeProgramTest {
+    private static final int SCHEDULES = 150;
+
+    @Test
+    void schedulesRevertNothing() {
+        for (long seed = 1; seed <= SCHEDULES; seed++) {
+            ScheduleMeasurement.Result result = ScheduleMeasurement.run(seed);
+            assertEquals(0, result.reversions(), "reversions with seed " + seed);
+            assertEquals(0, result.wrongContents(), "wrong contents with seed " + seed);
+            assertEquals(0, result.nodesBehind(), "nodes behind with seed " + seed);
+        }
+    }
+
+    @Test
+    void aChangeIsInForceEverywhereInTimeAndStoreCallsDoNotGrowWithTheFleet() {
+        PropagationMeasurement.Result small = PropagationMeasurement.run(1, 10);
+        PropagationMeasurement.Result large = PropagationMeasurement.run(1, 80);
+        assertTrue(large.maxMillis() <= 17_000, "max " + large.maxMillis());
+        assertTrue(large.storeCallsPerChange() <= small.storeCallsPerChange() + 2);
+        assertTrue(large.idleBytesPerNodeSecond() <= 4_000);
+    }
+
+    @Test
+    void aLeavingBackendServerIsUnusedWithinThreeSeconds() {
+        for (long seed = 1; seed <= 3; seed++) {
+            assertTrue(MembershipWorld.run(seed, 80, true).millis() <= 3_000);
+            assertTrue(MembershipWorld.run(seed, 80, false).millis() <= 3_000);
+        }
+    }
+
+    @Test
+    void theProgramIsDeterministic() {
+        assertEquals(print(), print());
+    }
+
+    private static String print() {
+        ByteArrayOutputStream bytes = new ByteArrayOutputStream();
+        String[] args = {"--sizes", "10", "--seeds", "1", "--schedules", "3"};
+        assertEquals(0, DistributeProgram.run(args, new PrintStream(bytes, true, StandardCharsets.UTF_8)));
+        return bytes.toString(StandardCharsets.UTF_8);
+    }
+}
