Add the reconciler of models, adapters, versions and roles

Cause: engines must be brought to the document's state by one node at a time, within rolloutPercent and the weight store's rate, and survive that node. Change: Reconciler plans from desired and actual state only; the holder of the service's lease issues fenced commands and stops before the lease ends; a new holder reads every engine first. WeightShare divides the weight store's rate by live nodes without calling the store.

--- /dev/null
+++ b/core/src/main/java/io/hornbeamscale/core/reconcile/ReconcileAction.java
@@ -0,0 +1,29 @@
+package io.hornbeamscale.core.reconcile;
+
+import io.hornbeamscale.core.id.BackendId;
+import io.hornbeamscale.core.store.StoreCall;
+
+/** What a reconciler asks its caller to do. */
+public sealed interface ReconcileAction {
+    /**
+     * Calls the store. The reply goes to {@link Reconciler#storeReply}.
+     *
+     * @param call the call
+     */
+    record CallStore(StoreCall call) implements ReconcileAction {}
+
+    /**
+     * Sends a command to an engine. The reply goes to {@link Reconciler#commandReply}.
+     *
+     * @param backend the engine
+     * @param command the command
+     */
+    record SendCommand(BackendId backend, EngineCommand command) implements ReconcileAction {}
+
+    /**
+     * Reads what an engine holds. The result goes to {@link Reconciler#actual} or {@link Reconciler#unreachable}.
+     *
+     * @param backend the engine
+     */
+    record ReadActual(BackendId backend) implements ReconcileAction {}
+}
--- /dev/null
+++ b/core/src/test/java/io/hornbeamscale/core/reconcile/ReconcilerTest.java
@@ -0,0 +1,325 @@
+package io.hornbeamscale.core.reconcile;
+
+import static org.junit.jupiter.api.Assertions.assertEquals;
+import static org.junit.jupiter.api.Assertions.assertFalse;
+import static org.junit.jupiter.api.Assertions.assertTrue;
+
+import io.hornbeamscale.core.id.BackendId;
+import io.hornbeamscale.core.id.ServiceId;
+import io.hornbeamscale.core.store.StoreCall;
+import io.hornbeamscale.core.store.StoreReply;
+import java.util.ArrayList;
+import java.util.List;
+import java.util.Map;
+import java.util.Optional;
+import java.util.PriorityQueue;
+import java.util.Random;
+import java.util.TreeMap;
+import org.junit.jupiter.api.Test;
+import org.junit.jupiter.params.ParameterizedTest;
+import org.junit.jupiter.params.provider.CsvSource;
+
+/**
+ * Guards against a rollout that takes more capacity than allowed, draws more from the weight store than its share,
+ * repeats or loses commands, or does not finish after its holder or the store failed.
+ */
+class ReconcilerTest {
+    private static final int ENGINES = 20;
+    private static final int PERCENT = 25;
+    private static final long LOADING_MILLIS = 4_000;
+    private static final long LIMIT_MILLIS = 600_000;
+
+    enum Fault {
+        NONE,
+        HOLDER_DIES,
+        HOLDER_PAUSES,
+        ENGINE_SILENT,
+        WEIGHTS_REFUSED,
+        REPLIES_LOST,
+        STORE_DOWN
+    }
+
+    @ParameterizedTest
+    @CsvSource({"NONE", "HOLDER_DIES", "HOLDER_PAUSES", "ENGINE_SILENT", "WEIGHTS_REFUSED", "REPLIES_LOST", "STORE_DOWN"
+    })
+    void aRolloutFinishesWithinItsLimits(Fault fault) {
+        for (long seed = 1; seed <= 20; seed++) {
+            Sim sim = new Sim(seed, fault);
+            sim.run();
+            String where = fault + " with seed " + seed;
+            assertTrue(sim.isFinished(), "not finished: " + where);
+            assertTrue(sim.maxChanging <= ENGINES * PERCENT / 100, "changing " + sim.maxChanging + ": " + where);
+            // Two nodes share the rate; each may have one load saved up.
+            double allowed = 2 + sim.loadRate * sim.nowMillis / 1_000.0;
+            assertTrue(sim.loads <= allowed, "loads " + sim.loads + ": " + where);
+            assertEquals(ENGINES, sim.effects, "each engine changes once: " + where);
+            assertEquals(0, sim.staleEffects, "effect of an old holder: " + where);
+        }
+    }
+
+    @Test
+    void noCommandIsIssuedBeforeEveryEngineIsKnown() {
+        Reconciler node = reconciler("a", new WeightShare(1_000, 0));
+        node.desire(List.of(goal("e1", "v2"), goal("e2", "v2"), goal("e3", "v2"), goal("e4", "v2")), 50);
+        node.candidate(true);
+        node.tick(0);
+        node.storeReply(new StoreReply.Leased("reconcile/tours", 1, LeaseKeeper.TTL_MILLIS), 10);
+        assertFalse(isCommand(node.actual(new BackendId("e1"), holding("v1"), 20)));
+        assertFalse(isCommand(node.actual(new BackendId("e2"), holding("v1"), 30)));
+        node.unreachable(new BackendId("e3"), 40);
+        assertTrue(isCommand(node.actual(new BackendId("e4"), holding("v2"), 50)));
+    }
+
+    @Test
+    void aHolderStopsBeforeItsLeaseEnds() {
+        Reconciler node = reconciler("a", new WeightShare(1_000, 0));
+        node.desire(List.of(goal("e1", "v2")), 100);
+        node.candidate(true);
+        node.tick(0);
+        node.storeReply(new StoreReply.Leased("reconcile/tours", 1, LeaseKeeper.TTL_MILLIS), 5_000);
+        assertTrue(node.isHolder(5_000));
+        assertFalse(node.isHolder(7_500));
+        assertFalse(isCommand(node.actual(new BackendId("e1"), holding("v1"), 8_000)));
+    }
+
+    @Test
+    void thePlanLoadsBeforeItUnloadsAndChangesTheRoleLast() {
+        EngineGoal goal = new EngineGoal(new BackendId("e"), Map.of("m", "v2"), Map.of("a", "v2"), "prefill", 1);
+        EngineActual actual = new EngineActual(Map.of("m", "v1", "old", "v1"), Map.of("b", "v1"), "serve", 0, false);
+        List<Class<?>> order = new ArrayList<>();
+        Optional<EngineCommand> next = CommandPlan.next(goal, actual, 7);
+        while (next.isPresent()) {
+            order.add(next.get().getClass());
+            actual = Sim.after(actual, next.get());
+            next = CommandPlan.next(goal, actual, 7);
+        }
+        assertEquals(
+                List.of(
+                        EngineCommand.LoadModel.class,
+                        EngineCommand.LoadAdapter.class,
+                        EngineCommand.UnloadAdapter.class,
+                        EngineCommand.UnloadModel.class,
+                        EngineCommand.ChangeRole.class),
+                order);
+    }
+
+    private static boolean isCommand(List<ReconcileAction> actions) {
+        return actions.stream().anyMatch(a -> a instanceof ReconcileAction.SendCommand);
+    }
+
+    private static Reconciler reconciler(String owner, WeightShare share) {
+        return new Reconciler(new ServiceId("tours"), owner, share, new Random(1));
+    }
+
+    private static EngineGoal goal(String name, String version) {
+        return new EngineGoal(new BackendId(name), Map.of("m", version), Map.of(), "", 1);
+    }
+
+    private static EngineActual holding(String version) {
+        return new EngineActual(Map.of("m", version), Map.of(), "serve", 0, false);
+    }
+
+    /** Two reconcilers, a store with one lease, and engines that load for a while, on a manual clock. */
+    private static final class Sim {
+        private static final int NODES = 2;
+
+        private final double loadRate = 2;
+        private final Random random;
+        private final Fault fault;
+        private final List<Reconciler> nodes = new ArrayList<>();
+        private final long[] pausedUntil = new long[NODES];
+        private final boolean[] isDead = new boolean[NODES];
+        private final Map<BackendId, EngineActual> engines =
+                new TreeMap<>((a, b) -> a.value().compareTo(b.value()));
+        private final Map<BackendId, Long> loadingUntil =
+                new TreeMap<>((a, b) -> a.value().compareTo(b.value()));
+        private final PriorityQueue<Task> tasks = new PriorityQueue<>((a, b) ->
+                a.atMillis == b.atMillis ? Long.compare(a.sequence, b.sequence) : Long.compare(a.atMillis, b.atMillis));
+        private String leaseOwner = "";
+        private long leaseEnd;
+        private long fence;
+        private long nowMillis;
+        private long sequence;
+        private int maxChanging;
+        private int loads;
+        private int effects;
+        private int staleEffects;
+        private boolean hasStruck;
+
+        private Sim(long seed, Fault fault) {
+            this.random = new Random(seed);
+            this.fault = fault;
+            List<EngineGoal> goals = new ArrayList<>();
+            for (int i = 0; i < ENGINES; i++) {
+                engines.put(new BackendId("e" + i), holding("v1"));
+                goals.add(goal("e" + i, "v2"));
+            }
+            for (int i = 0; i < NODES; i++) {
+                WeightShare share = new WeightShare(loadRate, 0);
+                share.nodes(NODES, 0);
+                Reconciler node = new Reconciler(new ServiceId("tours"), "node-" + i, share, new Random(seed + i));
+                node.desire(goals, PERCENT);
+                node.candidate(true);
+                nodes.add(node);
+                tickLater(i);
+            }
+        }
+
+        private void run() {
+            while (nowMillis < LIMIT_MILLIS && !isFinished()) {
+                Task task = tasks.poll();
+                nowMillis = task.atMillis;
+                task.run.run();
+                strike();
+                int changing = (int) loadingUntil.values().stream()
+                        .filter(end -> end > nowMillis)
+                        .count();
+                maxChanging = Math.max(maxChanging, changing);
+            }
+        }
+
+        private boolean isFinished() {
+            return engines.values().stream()
+                    .allMatch(e -> "v2".equals(e.models().get("m")));
+        }
+
+        private void strike() {
+            if (hasStruck || effects < 5 || leaseOwner.isEmpty()) {
+                return;
+            }
+            hasStruck = true;
+            int holder = Integer.parseInt(leaseOwner.substring("node-".length()));
+            if (fault == Fault.HOLDER_DIES) {
+                isDead[holder] = true;
+            } else if (fault == Fault.HOLDER_PAUSES) {
+                pausedUntil[holder] = nowMillis + 25_000;
+            }
+        }
+
+        private boolean isActive(Fault kind) {
+            return fault == kind && effects >= 5 && nowMillis < 60_000;
+        }
+
+        private void after(long millis, Runnable run) {
+            tasks.add(new Task(nowMillis + millis, sequence++, run));
+        }
+
+        /** A paused node runs its events when it wakes up, with the time of then. */
+        private void onNode(int index, Runnable run) {
+            if (nowMillis < pausedUntil[index]) {
+                after(pausedUntil[index] - nowMillis, () -> onNode(index, run));
+            } else if (!isDead[index]) {
+                run.run();
+            }
+        }
+
+        private void tickLater(int index) {
+            after(
+                    50 + random.nextInt(50),
+                    () -> onNode(index, () -> {
+                        perform(index, nodes.get(index).tick(nowMillis));
+                        tickLater(index);
+                    }));
+        }
+
+        private void perform(int index, List<ReconcileAction> actions) {
+            Reconciler node = nodes.get(index);
+            for (ReconcileAction action : actions) {
+                long delay = 1L + random.nextInt(30);
+                if (action instanceof ReconcileAction.CallStore call) {
+                    after(delay, () -> {
+                        StoreReply reply = store((StoreCall.AcquireLease) call.call());
+                        after(5, () -> onNode(index, () -> perform(index, node.storeReply(reply, nowMillis))));
+                    });
+                } else if (action instanceof ReconcileAction.ReadActual read) {
+                    after(delay, () -> read(index, read.backend()));
+                } else if (action instanceof ReconcileAction.SendCommand send) {
+                    after(delay, () -> {
+                        CommandReply reply = command(send);
+                        after(
+                                5,
+                                () -> onNode(
+                                        index,
+                                        () -> perform(index, node.commandReply(send.backend(), reply, nowMillis))));
+                    });
+                }
+            }
+        }
+
+        private StoreReply store(StoreCall.AcquireLease call) {
+            if (isActive(Fault.STORE_DOWN)) {
+                return new StoreReply.NoAnswer(call.key());
+            }
+            if (!leaseOwner.equals(call.owner()) && leaseEnd > nowMillis) {
+                return new StoreReply.Conflict(call.key(), fence);
+            }
+            fence += leaseOwner.equals(call.owner()) && leaseEnd > nowMillis ? 0 : 1;
+            leaseOwner = call.owner();
+            leaseEnd = nowMillis + call.ttlMillis();
+            return new StoreReply.Leased(call.key(), fence, call.ttlMillis());
+        }
+
+        private void read(int index, BackendId id) {
+            Reconciler node = nodes.get(index);
+            if (isSilent(id)) {
+                after(1_000, () -> onNode(index, () -> perform(index, node.unreachable(id, nowMillis))));
+                return;
+            }
+            EngineActual state = state(id);
+            after(5, () -> onNode(index, () -> perform(index, node.actual(id, state, nowMillis))));
+        }
+
+        private boolean isSilent(BackendId id) {
+            return isActive(Fault.ENGINE_SILENT) && id.value().equals("e7");
+        }
+
+        private EngineActual state(BackendId id) {
+            EngineActual actual = engines.get(id);
+            boolean isLoading = loadingUntil.getOrDefault(id, 0L) > nowMillis;
+            return new EngineActual(actual.models(), actual.adapters(), actual.role(), actual.fence(), isLoading);
+        }
+
+        private CommandReply command(ReconcileAction.SendCommand send) {
+            EngineActual before = engines.get(send.backend());
+            if (isSilent(send.backend())) {
+                return new CommandReply.NoAnswer();
+            }
+            if (send.command().fence() < before.fence()) {
+                return new CommandReply.StaleFence(before.fence());
+            }
+            loads++;
+            if (isActive(Fault.WEIGHTS_REFUSED) && random.nextInt(3) > 0) {
+                return new CommandReply.Refused();
+            }
+            EngineActual result = after(before, send.command());
+            if (!result.models().equals(before.models())) {
+                effects++;
+                staleEffects += send.command().fence() < fence ? 1 : 0;
+                loadingUntil.put(send.backend(), nowMillis + LOADING_MILLIS);
+            }
+            engines.put(send.backend(), result);
+            boolean isLost = isActive(Fault.REPLIES_LOST) && random.nextBoolean();
+            return isLost ? new CommandReply.NoAnswer() : new CommandReply.Accepted(state(send.backend()));
+        }
+
+        private static EngineActual after(EngineActual before, EngineCommand command) {
+            Map<String, String> models = new TreeMap<>(before.models());
+            Map<String, String> adapters = new TreeMap<>(before.adapters());
+            String role = before.role();
+            if (command instanceof EngineCommand.LoadModel load) {
+                models.put(load.model(), load.version());
+            } else if (command instanceof EngineCommand.LoadAdapter load) {
+                adapters.put(load.adapter(), load.version());
+            } else if (command instanceof EngineCommand.UnloadModel unload) {
+                models.remove(unload.model());
+            } else if (command instanceof EngineCommand.UnloadAdapter unload) {
+                adapters.remove(unload.adapter());
+            } else if (command instanceof EngineCommand.ChangeRole change) {
+                role = change.role();
+            }
+            return new EngineActual(models, adapters, role, Math.max(before.fence(), command.fence()), false);
+        }
+
+        private record Task(long atMillis, long sequence, Runnable run) {}
+    }
+}
