Require two copies of a version before it comes into force

Change: a version is settled once two of the other holders of the region have it, and only settled versions come into force. A node that starts without the store needs answers of two started holders. The time-outs that applied an unconfirmed version are gone; a node without copies waits.

--- a/core/src/main/java/io/hornbeamscale/core/distribute/ConfigDistributor.java
+++ b/core/src/main/java/io/hornbeamscale/core/distribute/ConfigDistributor.java
@@ -11,6 +11,7 @@
 import java.util.HashSet;
 import java.util.List;
 import java.util.Map;
+import java.util.Optional;
 import java.util.Set;
 import java.util.random.RandomGenerator;
 
@@ -19,8 +20,8 @@
  * while no other region is heard, so that the paid link carries differences and no whole documents. A node that learns
  * a version announces it to a few peers by a digest; a peer that is behind asks for the difference.
  *
- * <p>A version that a node learned from the store comes into force there only once another node holds it, and a
- * starting node asks the store for its present revision, or else several holders for their versions. Together they keep
+ * <p>A version comes into force in a region only once it is settled, which means that enough holders have a copy. A
+ * starting node asks the store for its present revision, or else enough holders for their versions. Together they keep
  * a node from coming back with an older version than it had. Not safe for use by several threads.
  */
 public final class ConfigDistributor {
@@ -35,12 +36,7 @@
 
     private static final long START_SPREAD_MILLIS = 2_000;
     private static final long START_ASK_MILLIS = 500;
-    private static final long START_WAIT_MILLIS = 1_500;
-    private static final long START_MAX_MILLIS = 5_000;
     private static final long START_READ_MILLIS = 3_000;
-    private static final int START_ANSWERS = 3;
-    private static final long CONFIRM_MILLIS = 2_000;
-    private static final long CONFIRM_REPEAT_MILLIS = 250;
     private static final long WANT_MILLIS = 1_000;
     private static final long LINK_GRACE_MILLIS = 1_500;
     private static final long LINK_SILENCE_MILLIS = 5_000;
@@ -53,23 +49,21 @@
     private final PeerPlan plan;
     private final StoreSide store;
     private final VersionGate gate = new VersionGate();
+    private final Settlement settlement = new Settlement();
     private final Deque<ConfigSnapshot> history = new ArrayDeque<>();
     private final Map<NodeId, ConfigMessage.Digest> better = new HashMap<>();
     private final Set<NodeId> startAnswers = new HashSet<>();
     private ConfigSnapshot held = ConfigSnapshot.EMPTY;
-    private long startedMillis;
     private long verifiedMillis;
     private long nextAskMillis;
     private long nextDigestMillis;
     private long nextLinkMillis;
-    private long nextConfirmMillis;
-    private long confirmUntilMillis;
     private long wantUntilMillis;
     private long linkHeardMillis;
     private long behindLinkSinceMillis = -1;
     private long wholeWindowMillis;
     private int wholeInWindow;
-    private boolean isUnconfirmed;
+    private boolean hasPeers;
 
     /**
      * Creates a distributor for a node that knows no document.
@@ -85,19 +79,19 @@
         this.random = Arguments.notNull(random, "random");
         this.plan = new PeerPlan(self, random);
         this.store = new StoreSide(random);
-        startedMillis = nowMillis;
         linkHeardMillis = nowMillis;
         nextDigestMillis = nowMillis + random.nextLong(DIGEST_PERIOD_MILLIS);
         store.delayFirst(nowMillis, START_SPREAD_MILLIS);
     }
 
     /**
-     * Replaces the list of live peers.
+     * Replaces the list of live peers. Nothing comes into force before the first call, even if the list is empty.
      *
      * @param live the peers, with or without the own node, not null
      */
     public void peers(Collection<Peer> live) {
         plan.update(Arguments.notNull(live, "live"));
+        hasPeers = true;
     }
 
     /**
@@ -137,18 +131,18 @@
         List<DistributeAction> actions = new ArrayList<>();
         if (gate.isOpen()) {
             watchIfNeeded(nowMillis, actions);
-            awaitHolder(nowMillis, actions);
         } else {
             starting(nowMillis, actions);
         }
+        settleIfPossible(nowMillis, actions);
         wantIfBehind(nowMillis, actions);
         if (nowMillis >= nextDigestMillis) {
             nextDigestMillis = nowMillis + DIGEST_PERIOD_MILLIS / 2 + random.nextLong(DIGEST_PERIOD_MILLIS);
-            sendDigest(plan.randomLocal(1), actions);
+            sendDigest(plan.randomLocal(1), false, actions);
         }
         if (nowMillis >= nextLinkMillis && plan.isLinkSender()) {
             nextLinkMillis = nowMillis + LINK_PERIOD_MILLIS;
-            sendDigest(plan.foreignWatchers(), actions);
+            sendDigest(plan.foreignWatchers(), false, actions);
         }
         return actions;
     }
@@ -172,9 +166,9 @@
         } else if (message instanceof ConfigMessage.Want want) {
             answer(from, want.haveVersion(), nowMillis, actions);
         } else if (message instanceof ConfigMessage.Delta delta) {
-            delta(from, delta.delta(), nowMillis, actions);
+            delta(from, delta, nowMillis, actions);
         } else if (message instanceof ConfigMessage.Whole whole) {
-            learnFromPeer(from, whole.snapshot(), nowMillis, actions);
+            learnFromPeer(from, whole.snapshot(), whole.isSettled(), nowMillis, actions);
         }
         return actions;
     }
@@ -190,7 +184,7 @@
         List<DistributeAction> actions = new ArrayList<>();
         store.verified(revision);
         verifiedMillis = nowMillis;
-        openIfSafe(nowMillis, actions);
+        openIfSafe(actions);
         return actions;
     }
 
@@ -210,7 +204,7 @@
         } else {
             store.answered();
         }
-        learn(snapshot, plan.hasLocalPeers(), nowMillis, actions);
+        learn(snapshot, false, nowMillis, actions);
         return actions;
     }
 
@@ -223,7 +217,7 @@
      */
     public List<DistributeAction> published(ConfigSnapshot snapshot, long nowMillis) {
         List<DistributeAction> actions = new ArrayList<>();
-        learn(Arguments.notNull(snapshot, "snapshot"), plan.hasLocalPeers(), nowMillis, actions);
+        learn(Arguments.notNull(snapshot, "snapshot"), false, nowMillis, actions);
         return actions;
     }
 
@@ -247,7 +241,7 @@
     public List<DistributeAction> storeFailed(long nowMillis) {
         List<DistributeAction> actions = new ArrayList<>();
         store.failed(nowMillis);
-        openIfSafe(nowMillis, actions);
+        openIfSafe(actions);
         return actions;
     }
 
@@ -256,10 +250,9 @@
             nextAskMillis = nowMillis + START_ASK_MILLIS;
             Set<NodeId> asked = new HashSet<>(plan.holders());
             asked.addAll(plan.randomLocal(1));
-            ConfigMessage ask = new ConfigMessage.Digest(held.version(), held.revision(), true);
-            asked.forEach(peer -> actions.add(new DistributeAction.Send(peer, ask)));
+            sendDigest(asked, true, actions);
         }
-        openIfSafe(nowMillis, actions);
+        openIfSafe(actions);
         if (gate.isOpen()) {
             return;
         }
@@ -275,31 +268,26 @@
         return nowMillis - verifiedMillis >= START_READ_MILLIS;
     }
 
-    private void openIfSafe(long nowMillis, List<DistributeAction> actions) {
-        if (gate.isOpen() || !isSafeToOpen(nowMillis)) {
+    private void openIfSafe(List<DistributeAction> actions) {
+        if (gate.isOpen() || !isSafeToOpen()) {
             return;
         }
         gate.open();
-        if (held.version() > 0) {
-            applyOrConfirm(nowMillis, actions);
-            announce(actions);
+        if (settlement.isSettled()) {
+            applyHeld(actions);
         }
     }
 
-    private boolean isSafeToOpen(long nowMillis) {
-        if (held.version() < gate.floor()) {
+    private boolean isSafeToOpen() {
+        if (!hasPeers || held.version() < gate.floor()) {
             return false;
         }
         if (store.isVerified()) {
             return held.revision() >= store.presentRevision();
         }
-        if (!store.hasFailed() || held.version() == 0) {
-            return false;
-        }
-        long waited = nowMillis - startedMillis;
-        int needed = Math.min(START_ANSWERS, plan.holders().size());
-        boolean isQuorum = startAnswers.size() >= needed && waited >= START_WAIT_MILLIS;
-        return isQuorum || waited >= START_MAX_MILLIS;
+        List<NodeId> holders = plan.holders();
+        long answers = holders.stream().filter(startAnswers::contains).count();
+        return store.hasFailed() && held.version() > 0 && answers >= Settlement.needed(holders);
     }
 
     private void watchIfNeeded(long nowMillis, List<DistributeAction> actions) {
@@ -309,21 +297,27 @@
         }
     }
 
-    private void awaitHolder(long nowMillis, List<DistributeAction> actions) {
-        if (!isUnconfirmed) {
+    private void settleIfPossible(long nowMillis, List<DistributeAction> actions) {
+        if (settlement.isSettled() || !hasPeers) {
             return;
         }
-        if (nowMillis >= confirmUntilMillis) {
+        if (settlement.hasEnoughCopies(plan.holders())) {
+            settle(actions);
+        } else if (settlement.isDue(plan.isWatcher(), nowMillis)) {
+            sendDigest(plan.holders(), true, actions);
+        }
+    }
+
+    private void settle(List<DistributeAction> actions) {
+        settlement.settle();
+        if (gate.isOpen()) {
             applyHeld(actions);
-        } else if (nowMillis >= nextConfirmMillis) {
-            nextConfirmMillis = nowMillis + CONFIRM_REPEAT_MILLIS;
-            sendDigest(plan.holders(), actions);
         }
     }
 
     private void digest(NodeId from, ConfigMessage.Digest digest, long nowMillis, List<DistributeAction> actions) {
         gate.raiseFloor(digest.version());
-        if (!gate.isOpen() && !digest.isStarting()) {
+        if (!gate.isOpen() && digest.isStarted()) {
             startAnswers.add(from);
         }
         if (digest.version() > held.version()) {
@@ -333,22 +327,22 @@
             }
             wantIfBehind(nowMillis, actions);
         } else if (digest.version() == held.version()) {
-            confirmed(actions);
-        } else if (!digest.isStarting() && !isLinkBackup(from)) {
+            sameVersion(from, digest.isSettled(), nowMillis, actions);
+        } else if (digest.isStarted() && !isLinkBackup(from)) {
             answer(from, digest.version(), nowMillis, actions);
         }
-        if (digest.isStarting()) {
-            sendDigest(List.of(from), actions);
+        if (digest.wantsReply()) {
+            sendDigest(List.of(from), false, actions);
         }
-        openIfSafe(nowMillis, actions);
+        openIfSafe(actions);
     }
 
-    private void confirmed(List<DistributeAction> actions) {
-        boolean isWaiting = isUnconfirmed && gate.isOpen();
-        isUnconfirmed = false;
-        if (isWaiting) {
-            applyHeld(actions);
+    private void sameVersion(NodeId from, boolean isSettled, long nowMillis, List<DistributeAction> actions) {
+        settlement.copied(from);
+        if (!settlement.isSettled() && isSettled && !plan.isForeign(from)) {
+            settle(actions);
         }
+        settleIfPossible(nowMillis, actions);
     }
 
     /** The second watcher of a region leaves the paid link to the first for a while. */
@@ -383,7 +377,8 @@
         for (ConfigSnapshot old : history) {
             if (old.version() == haveVersion && haveVersion > 0) {
                 ConfigDelta delta = ConfigDelta.between(old, held);
-                actions.add(new DistributeAction.Send(to, new ConfigMessage.Delta(delta)));
+                ConfigMessage message = new ConfigMessage.Delta(delta, settlement.isSettled());
+                actions.add(new DistributeAction.Send(to, message));
                 return;
             }
         }
@@ -394,73 +389,74 @@
         }
         if (wholeInWindow < MAX_WHOLE_PER_WINDOW) {
             wholeInWindow++;
-            actions.add(new DistributeAction.Send(to, new ConfigMessage.Whole(held)));
+            ConfigMessage message = new ConfigMessage.Whole(held, settlement.isSettled());
+            actions.add(new DistributeAction.Send(to, message));
         }
     }
 
-    private void delta(NodeId from, ConfigDelta delta, long nowMillis, List<DistributeAction> actions) {
+    private void delta(NodeId from, ConfigMessage.Delta message, long nowMillis, List<DistributeAction> actions) {
+        ConfigDelta delta = message.delta();
         if (delta.toVersion() <= held.version()) {
             return;
         }
-        delta.applyTo(held).ifPresentOrElse(result -> learnFromPeer(from, result, nowMillis, actions), () -> {
-            long have = delta.fromVersion() == held.version() ? 0 : held.version();
-            wantUntilMillis = nowMillis + WANT_MILLIS;
-            actions.add(new DistributeAction.Send(from, new ConfigMessage.Want(have)));
-        });
-    }
-
-    private void learnFromPeer(NodeId from, ConfigSnapshot snapshot, long nowMillis, List<DistributeAction> actions) {
-        learn(snapshot, false, nowMillis, actions);
-        sendDigest(List.of(from), actions);
-    }
-
-    private void learn(ConfigSnapshot snapshot, boolean needsHolder, long nowMillis, List<DistributeAction> actions) {
-        if (snapshot.version() <= held.version()) {
-            openIfSafe(nowMillis, actions);
+        Optional<ConfigSnapshot> result = delta.applyTo(held);
+        if (result.isPresent()) {
+            learnFromPeer(from, result.get(), message.isSettled(), nowMillis, actions);
             return;
         }
-        history.addFirst(held);
-        if (history.size() > MAX_HISTORY) {
-            history.removeLast();
-        }
-        held = snapshot;
-        isUnconfirmed = needsHolder;
-        wantUntilMillis = nowMillis;
-        behindLinkSinceMillis = -1;
-        if (!gate.isOpen()) {
-            openIfSafe(nowMillis, actions);
-            return;
+        long have = delta.fromVersion() == held.version() ? 0 : held.version();
+        wantUntilMillis = nowMillis + WANT_MILLIS;
+        actions.add(new DistributeAction.Send(from, new ConfigMessage.Want(have)));
+    }
+
+    private void learnFromPeer(
+            NodeId from, ConfigSnapshot snapshot, boolean isSettled, long nowMillis, List<DistributeAction> actions) {
+        // Copies in another region do not help a node of this region that starts while the link is down.
+        learn(snapshot, isSettled && !plan.isForeign(from), nowMillis, actions);
+        if (snapshot.version() == held.version()) {
+            settlement.copied(from);
         }
-        applyOrConfirm(nowMillis, actions);
-        announce(actions);
+        sendDigest(List.of(from), false, actions);
     }
 
-    private void applyOrConfirm(long nowMillis, List<DistributeAction> actions) {
-        if (!isUnconfirmed) {
-            applyHeld(actions);
-            return;
+    private void learn(ConfigSnapshot snapshot, boolean isSettled, long nowMillis, List<DistributeAction> actions) {
+        if (snapshot.version() > held.version()) {
+            history.addFirst(held);
+            if (history.size() > MAX_HISTORY) {
+                history.removeLast();
+            }
+            held = snapshot;
+            settlement.reset(isSettled);
+            wantUntilMillis = nowMillis;
+            behindLinkSinceMillis = -1;
+            if (gate.isOpen() && isSettled) {
+                applyHeld(actions);
+            }
+            settleIfPossible(nowMillis, actions);
         }
-        confirmUntilMillis = nowMillis + CONFIRM_MILLIS;
-        nextConfirmMillis = nowMillis + CONFIRM_REPEAT_MILLIS;
-        sendDigest(plan.holders(), actions);
+        openIfSafe(actions);
     }
 
     private void applyHeld(List<DistributeAction> actions) {
-        isUnconfirmed = false;
-        if (gate.tryApply(held.version())) {
+        if (held.version() > 0 && gate.tryApply(held.version())) {
             actions.add(new DistributeAction.Apply(held));
+            announce(actions);
         }
     }
 
     private void announce(List<DistributeAction> actions) {
-        sendDigest(plan.randomLocal(FANOUT), actions);
+        sendDigest(plan.randomLocal(FANOUT), false, actions);
+        if (plan.isWatcher()) {
+            sendDigest(plan.holders(), false, actions);
+        }
         if (plan.isLinkSender()) {
-            sendDigest(plan.foreignWatchers(), actions);
+            sendDigest(plan.foreignWatchers(), false, actions);
         }
     }
 
-    private void sendDigest(List<NodeId> peers, List<DistributeAction> actions) {
-        ConfigMessage digest = new ConfigMessage.Digest(held.version(), held.revision(), false);
+    private void sendDigest(Collection<NodeId> peers, boolean wantsReply, List<DistributeAction> actions) {
+        ConfigMessage digest = new ConfigMessage.Digest(
+                held.version(), held.revision(), settlement.isSettled(), gate.isOpen(), wantsReply);
         peers.forEach(peer -> actions.add(new DistributeAction.Send(peer, digest)));
     }
 }
--- a/core/src/main/java/io/hornbeamscale/core/distribute/ConfigMessage.java
+++ b/core/src/main/java/io/hornbeamscale/core/distribute/ConfigMessage.java
@@ -7,9 +7,12 @@
      *
      * @param version the version, 0 for none
      * @param revision the revision of the store's key for this version
-     * @param isStarting whether the sender has just started and asks for the receiver's digest
+     * @param isSettled whether enough holders of the sender's region have the version
+     * @param isStarted whether the sender has finished its start
+     * @param wantsReply whether the sender asks for the receiver's digest
      */
-    record Digest(long version, long revision, boolean isStarting) implements ConfigMessage {}
+    record Digest(long version, long revision, boolean isSettled, boolean isStarted, boolean wantsReply)
+            implements ConfigMessage {}
 
     /**
      * Asks for a newer version.
@@ -22,13 +25,15 @@
      * Carries a difference.
      *
      * @param delta the difference
+     * @param isSettled whether enough holders of the sender's region have the resulting version
      */
-    record Delta(ConfigDelta delta) implements ConfigMessage {}
+    record Delta(ConfigDelta delta, boolean isSettled) implements ConfigMessage {}
 
     /**
      * Carries a whole document.
      *
      * @param snapshot the document
+     * @param isSettled whether enough holders of the sender's region have this version
      */
-    record Whole(ConfigSnapshot snapshot) implements ConfigMessage {}
+    record Whole(ConfigSnapshot snapshot, boolean isSettled) implements ConfigMessage {}
 }
--- a/core/src/main/java/io/hornbeamscale/core/distribute/PeerPlan.java
+++ b/core/src/main/java/io/hornbeamscale/core/distribute/PeerPlan.java
@@ -84,10 +84,6 @@
         return peer != null && !peer.region().equals(self.region());
     }
 
-    boolean hasLocalPeers() {
-        return !local.isEmpty();
-    }
-
     /** Returns the nodes of the region that receive a version first, without the own node. */
     List<NodeId> holders() {
         return ranks.stream().filter(n -> !n.equals(self.node())).toList();
--- a/measure/src/main/java/io/hornbeamscale/measure/distribute/DistributionWorld.java
+++ b/measure/src/main/java/io/hornbeamscale/measure/distribute/DistributionWorld.java
@@ -160,7 +160,7 @@
     }
 
     private void deliver(SimNode node, long incarnation, ConfigSnapshot snapshot) {
-        int size = size(new ConfigMessage.Whole(snapshot));
+        int size = size(new ConfigMessage.Whole(snapshot, false));
         queue.after(storeDelay(node), () -> {
             boolean isCut = store.isDown() || !isReachable(node.peer.region(), REGIONS.get(0));
             if (!isCut && !node.peer.region().equals(REGIONS.get(0))) {
