--- a/core/src/main/java/io/hornbeamscale/core/dispatch/Dispatcher.java
+++ b/core/src/main/java/io/hornbeamscale/core/dispatch/Dispatcher.java
@@ -15,6 +15,16 @@
  * in milliseconds of the process's monotonic clock. Not safe for use by several threads.
  */
 public interface Dispatcher {
+    /**
+     * Replaces the set of backend servers that this entry watches. Servers that are no longer listed receive no new
+     * reservations; attempts that run there continue.
+     *
+     * @param places the watched backend servers, not null
+     * @param nowMillis the present time
+     * @return the actions to carry out
+     */
+    List<DispatchAction> watch(List<BackendPlace> places, long nowMillis);
+
     /**
      * Accepts a new request.
      *
@@ -91,7 +101,8 @@
     List<DispatchAction> cancelled(RequestId request, long nowMillis);
 
     /**
-     * Handles the status of a backend server; the first status adds the server.
+     * Handles the status of a backend server; the first status adds the server
+     * unless {@link #watch} has named the watched ones.
      *
      * @param status the status
      * @param nowMillis the present time
@@ -109,6 +120,14 @@
      */
     List<DispatchAction> lost(BackendId backend, long nowMillis);
 
+    /**
+     * Returns whether the answer of an attempt goes to the caller. Tokens of other attempts are dropped.
+     *
+     * @param attempt the attempt
+     * @return whether the attempt is handed over and neither replaced nor cancelled
+     */
+    boolean isLive(AttemptId attempt);
+
     /**
      * Checks deadlines and pauses. Called every few milliseconds to tens of milliseconds.
      *
--- /dev/null
+++ b/core/src/main/java/io/hornbeamscale/core/dispatch/DispatcherConfig.java
@@ -0,0 +1,144 @@
+package io.hornbeamscale.core.dispatch;
+
+import io.hornbeamscale.core.id.RegionId;
+import io.hornbeamscale.core.id.ZoneId;
+import io.hornbeamscale.core.util.Arguments;
+
+/**
+ * Settings of a dispatcher.
+ *
+ * @param zone the availability zone of the entry, not null
+ * @param region the region of the entry, not null
+ * @param maxQueued the greatest number of requests that wait for a start
+ * @param maxAttempts the greatest number of attempts per request that were handed over
+ * @param pauseMillis the pause before a request that was refused everywhere is reserved again, in milliseconds
+ * @param rerunWaitMillis how long a request may wait for its second run after its deadline, in milliseconds
+ * @param retryPercent retries and second attempts as a share of first attempts, in percent
+ * @param retryAfterMillis the smallest advised pause of a refused caller, in milliseconds
+ */
+public record DispatcherConfig(
+        ZoneId zone,
+        RegionId region,
+        int maxQueued,
+        int maxAttempts,
+        long pauseMillis,
+        long rerunWaitMillis,
+        int retryPercent,
+        long retryAfterMillis) {
+    /** Checks the parts. */
+    public DispatcherConfig {
+        Arguments.notNull(zone, "zone");
+        Arguments.notNull(region, "region");
+        Arguments.positive(maxQueued, "maxQueued");
+        Arguments.positive(maxAttempts, "maxAttempts");
+        Arguments.positive(pauseMillis, "pauseMillis");
+        Arguments.notNegative(rerunWaitMillis, "rerunWaitMillis");
+        Arguments.inRange(retryPercent, 0, 100, "retryPercent");
+        Arguments.positive(retryAfterMillis, "retryAfterMillis");
+    }
+
+    /**
+     * Starts a builder with the default settings.
+     *
+     * @param zone the availability zone of the entry, not null
+     * @param region the region of the entry, not null
+     * @return the builder, never null
+     */
+    public static Builder builder(ZoneId zone, RegionId region) {
+        return new Builder(zone, region);
+    }
+
+    /** Builds the settings of a dispatcher. */
+    public static final class Builder {
+        private final ZoneId zone;
+        private final RegionId region;
+        private int maxQueued = 10_000;
+        private int maxAttempts = 3;
+        private long pauseMillis = 50;
+        private long rerunWaitMillis = 5_000;
+        private int retryPercent = 10;
+        private long retryAfterMillis = 1_000;
+
+        private Builder(ZoneId zone, RegionId region) {
+            this.zone = zone;
+            this.region = region;
+        }
+
+        /**
+         * Sets the bound of the queue.
+         *
+         * @param value the greatest number of waiting requests, greater than 0
+         * @return this builder
+         */
+        public Builder maxQueued(int value) {
+            maxQueued = value;
+            return this;
+        }
+
+        /**
+         * Sets the bound of attempts per request.
+         *
+         * @param value the greatest number of attempts, greater than 0
+         * @return this builder
+         */
+        public Builder maxAttempts(int value) {
+            maxAttempts = value;
+            return this;
+        }
+
+        /**
+         * Sets the pause after refusals.
+         *
+         * @param value the pause in milliseconds, greater than 0
+         * @return this builder
+         */
+        public Builder pauseMillis(long value) {
+            pauseMillis = value;
+            return this;
+        }
+
+        /**
+         * Sets how long a second run may wait after the deadline.
+         *
+         * @param value the wait in milliseconds, not negative
+         * @return this builder
+         */
+        public Builder rerunWaitMillis(long value) {
+            rerunWaitMillis = value;
+            return this;
+        }
+
+        /**
+         * Sets the retry budget.
+         *
+         * @param value the share of first attempts in percent, from 0 to 100
+         * @return this builder
+         */
+        public Builder retryPercent(int value) {
+            retryPercent = value;
+            return this;
+        }
+
+        /**
+         * Sets the smallest advised pause of a refused caller.
+         *
+         * @param value the pause in milliseconds, greater than 0
+         * @return this builder
+         */
+        public Builder retryAfterMillis(long value) {
+            retryAfterMillis = value;
+            return this;
+        }
+
+        /**
+         * Builds the settings.
+         *
+         * @return the settings, never null
+         * @throws IllegalArgumentException if a value is out of range
+         */
+        public DispatcherConfig build() {
+            return new DispatcherConfig(
+                    zone, region, maxQueued, maxAttempts, pauseMillis, rerunWaitMillis, retryPercent, retryAfterMillis);
+        }
+    }
+}
--- /dev/null
+++ b/core/src/main/java/io/hornbeamscale/core/dispatch/RequestState.java
@@ -0,0 +1,71 @@
+package io.hornbeamscale.core.dispatch;
+
+import io.hornbeamscale.core.id.AttemptId;
+import io.hornbeamscale.core.id.BackendId;
+import io.hornbeamscale.core.work.WorkItem;
+import java.util.ArrayList;
+import java.util.LinkedHashMap;
+import java.util.LinkedHashSet;
+import java.util.List;
+import java.util.Map;
+import java.util.Set;
+
+/** The mutable state of one request at its entry. */
+final class RequestState {
+    final WorkItem work;
+    /** Attempts that were handed over and have neither ended nor failed. */
+    final Map<AttemptId, HandedOver> running = new LinkedHashMap<>();
+    /** Backend servers that hold a reservation of the reserving attempt. */
+    final Set<BackendId> reserved = new LinkedHashSet<>();
+    /** Backend servers that failed or refused this request; they are chosen again only if no other is left. */
+    final Set<BackendId> avoided = new LinkedHashSet<>();
+    /** The attempt that reserves, null if none does. */
+    AttemptId reserving;
+
+    int handOvers;
+    int lastNumber;
+    long waitingSince;
+    long deadlineMillis;
+    long retryAtMillis;
+    boolean isDelivering;
+    boolean isSecond;
+
+    RequestState(WorkItem work, long nowMillis) {
+        this.work = work;
+        this.deadlineMillis = work.deadlineMillis();
+        this.waitingSince = nowMillis;
+    }
+
+    /** Begins a new attempt that reserves. */
+    void nextAttempt() {
+        lastNumber++;
+        reserving = new AttemptId(work.request(), lastNumber);
+        reserved.clear();
+    }
+
+    List<BackendId> takeReserved() {
+        List<BackendId> all = new ArrayList<>(reserved);
+        reserved.clear();
+        return all;
+    }
+
+    boolean runsAt(BackendId backend) {
+        for (HandedOver h : running.values()) {
+            if (h.backend.equals(backend)) {
+                return true;
+            }
+        }
+        return false;
+    }
+
+    /** One attempt that was handed over. */
+    static final class HandedOver {
+        final BackendId backend;
+        final long startedMillis;
+
+        HandedOver(BackendId backend, long startedMillis) {
+            this.backend = backend;
+            this.startedMillis = startedMillis;
+        }
+    }
+}
--- /dev/null
+++ b/core/src/main/java/io/hornbeamscale/core/dispatch/ReservationDispatcher.java
@@ -0,0 +1,352 @@
+package io.hornbeamscale.core.dispatch;
+
+import io.hornbeamscale.core.error.ErrorKind;
+import io.hornbeamscale.core.error.RunOutcome;
+import io.hornbeamscale.core.id.AttemptId;
+import io.hornbeamscale.core.id.BackendId;
+import io.hornbeamscale.core.id.GrantId;
+import io.hornbeamscale.core.id.RequestId;
+import io.hornbeamscale.core.limit.RetryBudget;
+import io.hornbeamscale.core.util.Arguments;
+import io.hornbeamscale.core.work.BackendStatus;
+import io.hornbeamscale.core.work.WorkItem;
+import java.util.ArrayList;
+import java.util.LinkedHashMap;
+import java.util.List;
+import java.util.Map;
+import java.util.random.RandomGenerator;
+
+/**
+ * Reserves a place at two backend servers and hands the request to the one that grants first. The request stays at the
+ * entry until then, so that it can go elsewhere.
+ */
+public final class ReservationDispatcher implements Dispatcher {
+    private static final int RESERVATIONS = 2;
+
+    private final DispatcherConfig config;
+    private final RandomGenerator random;
+    private final BackendTable table = new BackendTable();
+    private final BackendChooser chooser;
+    private final RetryBudget retries;
+    private final Map<RequestId, RequestState> requests = new LinkedHashMap<>();
+    private int queued;
+
+    /**
+     * Creates a dispatcher that knows no backend server.
+     *
+     * @param config the settings, not null
+     * @param random the source of random choices, not null
+     */
+    public ReservationDispatcher(DispatcherConfig config, RandomGenerator random) {
+        this.config = Arguments.notNull(config, "config");
+        this.random = Arguments.notNull(random, "random");
+        this.chooser = new BackendChooser(table, random);
+        this.retries = new RetryBudget(config.retryPercent());
+    }
+
+    /**
+     * Returns the number of requests that wait for a start.
+     *
+     * @return the length of the queue
+     */
+    public int queued() {
+        return queued;
+    }
+
+    /**
+     * Returns the number of requests that wait or run.
+     *
+     * @return the number of requests that this dispatcher knows
+     */
+    public int active() {
+        return requests.size();
+    }
+
+    @Override
+    public List<DispatchAction> watch(List<BackendPlace> places, long nowMillis) {
+        table.watch(Arguments.notNull(places, "places"));
+        return List.of();
+    }
+
+    @Override
+    public List<DispatchAction> submit(WorkItem work, long nowMillis) {
+        List<DispatchAction> out = new ArrayList<>();
+        if (requests.containsKey(work.request())) {
+            return out;
+        }
+        if (!table.isServed(work)) {
+            out.add(reject(work.request(), ErrorKind.NO_BACKEND, RunOutcome.NOT_RUN));
+            return out;
+        }
+        if (nowMillis >= work.deadlineMillis()) {
+            out.add(reject(work.request(), ErrorKind.DEADLINE_EXCEEDED, RunOutcome.NOT_RUN));
+            return out;
+        }
+        if (queued >= config.maxQueued()) {
+            out.add(reject(work.request(), ErrorKind.OVERLOADED, RunOutcome.NOT_RUN));
+            return out;
+        }
+        RequestState s = new RequestState(work, nowMillis);
+        requests.put(work.request(), s);
+        retries.firstAttempt();
+        beginReserving(s);
+        reserve(s, nowMillis, out);
+        return out;
+    }
+
+    private void beginReserving(RequestState s) {
+        s.nextAttempt();
+        queued++;
+    }
+
+    private void reserve(RequestState s, long nowMillis, List<DispatchAction> out) {
+        int missing = RESERVATIONS - s.reserved.size();
+        if (missing <= 0) {
+            return;
+        }
+        for (BackendState b : chooser.choose(s, missing, nowMillis)) {
+            s.reserved.add(b.backend);
+            b.sinceStatus++;
+            out.add(new DispatchAction.SendReserve(b.backend, s.reserving, s.work));
+        }
+        if (s.reserved.isEmpty()) {
+            s.retryAtMillis = nowMillis + spread(config.pauseMillis());
+        }
+    }
+
+    @Override
+    public List<DispatchAction> granted(
+            BackendId backend, AttemptId attempt, GrantId grant, long validMillis, long nowMillis) {
+        List<DispatchAction> out = new ArrayList<>();
+        RequestState s = reservingState(attempt);
+        if (s == null || !s.reserved.remove(backend)) {
+            // A grant for a running attempt at the same server is a repeated frame; cancelling it would stop the run.
+            if (!isRunningAt(attempt, backend)) {
+                out.add(new DispatchAction.SendCancel(backend, attempt));
+            }
+            return out;
+        }
+        for (BackendId other : s.takeReserved()) {
+            out.add(new DispatchAction.SendCancel(other, attempt));
+        }
+        s.reserving = null;
+        s.handOvers++;
+        queued--;
+        s.running.put(attempt, new RequestState.HandedOver(backend, nowMillis));
+        out.add(new DispatchAction.SendStart(backend, attempt, grant, s.work));
+        return out;
+    }
+
+    private RequestState reservingState(AttemptId attempt) {
+        RequestState s = requests.get(attempt.request());
+        return s != null && attempt.equals(s.reserving) ? s : null;
+    }
+
+    private RequestState runningState(AttemptId attempt) {
+        RequestState s = requests.get(attempt.request());
+        return s != null && s.running.containsKey(attempt) ? s : null;
+    }
+
+    private boolean isRunningAt(AttemptId attempt, BackendId backend) {
+        RequestState s = runningState(attempt);
+        return s != null && s.running.get(attempt).backend.equals(backend);
+    }
+
+    @Override
+    public boolean isLive(AttemptId attempt) {
+        return runningState(attempt) != null;
+    }
+
+    @Override
+    public List<DispatchAction> refused(
+            BackendId backend, AttemptId attempt, ErrorKind kind, long retryAfterMillis, long nowMillis) {
+        List<DispatchAction> out = new ArrayList<>();
+        noteRefusal(backend, kind, retryAfterMillis, nowMillis);
+        RequestState s = reservingState(attempt);
+        if (s != null && s.reserved.remove(backend)) {
+            s.avoided.add(backend);
+            reserve(s, nowMillis, out);
+            return out;
+        }
+        if (!isRunningAt(attempt, backend)) {
+            return out;
+        }
+        // The start was refused, so the request has not run there and may be reserved again without the budget.
+        s = requests.get(attempt.request());
+        s.running.remove(attempt);
+        if (!s.running.isEmpty() || s.reserving != null) {
+            return out;
+        }
+        if (s.handOvers >= config.maxAttempts()) {
+            finish(s, out);
+            out.add(reject(s.work.request(), ErrorKind.OVERLOADED, RunOutcome.NOT_RUN));
+            return out;
+        }
+        if (kind != ErrorKind.GRANT_EXPIRED) {
+            s.avoided.add(backend);
+        }
+        beginReserving(s);
+        reserve(s, nowMillis, out);
+        return out;
+    }
+
+    private void noteRefusal(BackendId backend, ErrorKind kind, long retryAfterMillis, long nowMillis) {
+        BackendState b = table.get(backend);
+        if (b == null) {
+            return;
+        }
+        if (kind == ErrorKind.DRAINING) {
+            b.isDraining = true;
+        } else if (kind == ErrorKind.OVERLOADED) {
+            b.pausedUntilMillis = nowMillis + Math.max(retryAfterMillis, config.pauseMillis());
+        }
+    }
+
+    @Override
+    public List<DispatchAction> tokens(AttemptId attempt, int count, long nowMillis) {
+        List<DispatchAction> out = new ArrayList<>();
+        RequestState s = runningState(attempt);
+        if (s != null && !s.isDelivering) {
+            s.isDelivering = true;
+            cancelOthers(s, attempt, out);
+        }
+        return out;
+    }
+
+    private void cancelOthers(RequestState s, AttemptId winner, List<DispatchAction> out) {
+        dropReservations(s, out);
+        s.running.entrySet().removeIf(e -> {
+            if (e.getKey().equals(winner)) {
+                return false;
+            }
+            out.add(new DispatchAction.SendCancel(e.getValue().backend, e.getKey()));
+            return true;
+        });
+    }
+
+    private void dropReservations(RequestState s, List<DispatchAction> out) {
+        if (s.reserving == null) {
+            return;
+        }
+        for (BackendId b : s.takeReserved()) {
+            out.add(new DispatchAction.SendCancel(b, s.reserving));
+        }
+        s.reserving = null;
+        queued--;
+    }
+
+    private void finish(RequestState s, List<DispatchAction> out) {
+        cancelOthers(s, null, out);
+        requests.remove(s.work.request());
+    }
+
+    @Override
+    public List<DispatchAction> ended(AttemptId attempt, long nowMillis) {
+        List<DispatchAction> out = new ArrayList<>();
+        RequestState s = runningState(attempt);
+        if (s != null) {
+            s.running.remove(attempt);
+            finish(s, out);
+        }
+        return out;
+    }
+
+    @Override
+    public List<DispatchAction> failed(
+            AttemptId attempt, ErrorKind kind, RunOutcome outcome, boolean isDelivered, long nowMillis) {
+        List<DispatchAction> out = new ArrayList<>();
+        RequestState s = runningState(attempt);
+        if (s == null) {
+            return out;
+        }
+        RequestState.HandedOver h = s.running.remove(attempt);
+        s.avoided.add(h.backend);
+        boolean isOtherLeft = !s.running.isEmpty() || s.reserving != null;
+        if (isOtherLeft && !isDelivered) {
+            return out;
+        }
+        boolean mayRepeat = !isDelivered && (s.work.isRepeatable() || outcome == RunOutcome.NOT_RUN);
+        if (mayRepeat && s.handOvers < config.maxAttempts() && retries.tryRetry()) {
+            s.isDelivering = false;
+            s.deadlineMillis = Math.max(s.work.deadlineMillis(), nowMillis + config.rerunWaitMillis());
+            s.waitingSince = nowMillis;
+            beginReserving(s);
+            reserve(s, nowMillis, out);
+            return out;
+        }
+        finish(s, out);
+        out.add(reject(s.work.request(), kind, outcome));
+        return out;
+    }
+
+    @Override
+    public List<DispatchAction> cancelled(RequestId request, long nowMillis) {
+        List<DispatchAction> out = new ArrayList<>();
+        RequestState s = requests.get(request);
+        if (s != null) {
+            finish(s, out);
+        }
+        return out;
+    }
+
+    @Override
+    public List<DispatchAction> status(BackendStatus status, long nowMillis) {
+        table.status(status, nowMillis);
+        return List.of();
+    }
+
+    @Override
+    public List<DispatchAction> lost(BackendId backend, long nowMillis) {
+        List<DispatchAction> out = new ArrayList<>();
+        BackendState b = table.get(backend);
+        if (b != null) {
+            b.lost();
+        }
+        for (RequestState s : requests.values()) {
+            if (s.reserved.remove(backend)) {
+                reserve(s, nowMillis, out);
+            }
+        }
+        return out;
+    }
+
+    @Override
+    public List<DispatchAction> tick(long nowMillis) {
+        List<DispatchAction> out = new ArrayList<>();
+        for (RequestState s : List.copyOf(requests.values())) {
+            if (s.reserving == null) {
+                continue;
+            }
+            if (nowMillis >= s.deadlineMillis) {
+                expire(s, out);
+            } else if (s.reserved.isEmpty() && nowMillis >= s.retryAtMillis) {
+                s.avoided.clear();
+                reserve(s, nowMillis, out);
+            }
+        }
+        return out;
+    }
+
+    private void expire(RequestState s, List<DispatchAction> out) {
+        dropReservations(s, out);
+        if (s.running.isEmpty()) {
+            finish(s, out);
+            RunOutcome outcome = s.handOvers == 0 ? RunOutcome.NOT_RUN : RunOutcome.UNKNOWN;
+            out.add(reject(s.work.request(), ErrorKind.DEADLINE_EXCEEDED, outcome));
+        }
+    }
+
+    private DispatchAction reject(RequestId request, ErrorKind kind, RunOutcome outcome) {
+        boolean isPassing = kind == ErrorKind.OVERLOADED
+                || kind == ErrorKind.NO_BACKEND
+                || kind == ErrorKind.DEADLINE_EXCEEDED
+                || kind == ErrorKind.RATE_LIMITED;
+        long pause = isPassing ? spread(config.retryAfterMillis()) : 0;
+        return new DispatchAction.RejectCaller(request, kind, outcome, pause);
+    }
+
+    /** Spreads a pause over one to two times its length, so that refused callers do not return at once. */
+    private long spread(long pauseMillis) {
+        return pauseMillis + random.nextLong(pauseMillis + 1);
+    }
+}
--- /dev/null
+++ b/core/src/main/java/io/hornbeamscale/core/limit/RetryBudget.java
@@ -0,0 +1,39 @@
+package io.hornbeamscale.core.limit;
+
+import io.hornbeamscale.core.util.Arguments;
+
+/** Allows retries and second attempts as a share of first attempts, so that failures cannot multiply the load. */
+public final class RetryBudget {
+    /** Retries that are allowed at once after a quiet time; the share alone would refuse the first failure. */
+    private static final double BURST = 10;
+
+    private final double share;
+    private double allowed = BURST;
+
+    /**
+     * Creates a full budget.
+     *
+     * @param percent the share of first attempts in percent, from 0 to 100; 0 allows no retry at all
+     */
+    public RetryBudget(int percent) {
+        this.share = Arguments.inRange(percent, 0, 100, "percent") / 100;
+    }
+
+    /** Notes a first attempt. */
+    public void firstAttempt() {
+        allowed = Math.min(BURST, allowed + share);
+    }
+
+    /**
+     * Takes one retry from the budget.
+     *
+     * @return whether the retry is allowed
+     */
+    public boolean tryRetry() {
+        if (share == 0 || allowed < 1) {
+            return false;
+        }
+        allowed--;
+        return true;
+    }
+}
--- /dev/null
+++ b/core/src/main/java/io/hornbeamscale/core/limit/package-info.java
@@ -0,0 +1,2 @@
+/** Rate limits, shares of limits between entries, and budgets. */
+package io.hornbeamscale.core.limit;
