--- /dev/null
+++ b/measure/src/main/java/io/hornbeamscale/measure/sim/RequestRun.java
@@ -0,0 +1,36 @@
+package io.hornbeamscale.measure.sim;
+
+/** The course of one request as its caller sees it. */
+final class RequestRun {
+    enum State {
+        WAITING,
+        STREAMING,
+        DONE,
+        GAVE_UP,
+        REFUSED,
+        FAILED
+    }
+
+    final RequestSpec spec;
+    State state = State.WAITING;
+    /** The attempt whose tokens the caller receives, null before the first token. */
+    Object delivering;
+
+    int entry;
+    int tries = 1;
+    int tokens;
+    long admittedMicros = -1;
+    long firstMicros = -1;
+    long lastMicros;
+    long stallMicros;
+    boolean isRemote;
+
+    RequestRun(RequestSpec spec) {
+        this.spec = spec;
+        this.entry = spec.entry();
+    }
+
+    boolean isOver() {
+        return state != State.WAITING && state != State.STREAMING;
+    }
+}
