Complete the document: rules, validation, YAML, index, differences, schema

Cause: the other modules need lookups, validation and entity differences of the operators' document; the records had no checks and no text form.

Change: every field of the document carries a FieldRule; the structure check, the validator, the JSON schema and docs/CONFIGURATION.md derive from it. DocumentYaml reads a text and reports all errors at once with path, value and what is allowed. DocumentIndex finds entities by name and customers by key digest. DocumentDiff gives entity changes, applies and inverts them. ChangeWarnings names changes that strand running work.

--- a/core/src/main/java/io/hornbeamscale/core/document/BackendSpec.java
+++ b/core/src/main/java/io/hornbeamscale/core/document/BackendSpec.java
@@ -1,7 +1,7 @@
 package io.hornbeamscale.core.document;
 
 /**
- * A backend server and its traits.
+ * A backend server and its traits. Texts that are null become empty.
  *
  * @param name the name, unique among backend servers, without dots
  * @param service the service that it serves
@@ -15,13 +15,49 @@
  * @param honoursPriorities whether the engine honours priorities
  */
 public record BackendSpec(
+        @FieldRule(meaning = "name, unique among backend servers")
         String name,
+
+        @FieldRule(meaning = "service that the backend server serves")
         String service,
-        String region,
+
+        @FieldRule(meaning = "region") String region,
+
+        @FieldRule(meaning = "availability zone, one of the region's")
         String zone,
+
+        @FieldRule(meaning = "address of the agent beside the backend server, unique", form = TextForm.ADDRESS)
         String address,
+
+        @FieldRule(
+                meaning = "model that it should hold, one of the service's; empty for a plain service",
+                form = TextForm.MODEL_NAME,
+                optional = true)
         String model,
+
+        @FieldRule(
+                meaning = "engine memory in tokens, at least the model's maxOutputTokens; 0 for a plain service",
+                min = 0,
+                max = 1e9,
+                optional = true)
         long memoryTokens,
+
+        @FieldRule(meaning = "greatest number of requests that run at once", min = 1, max = 4096)
         int maxRunning,
+
+        @FieldRule(meaning = "whether the engine rejects old fencing numbers itself", optional = true)
         boolean checksFencing,
-        boolean honoursPriorities) {}
+
+        @FieldRule(meaning = "whether the engine honours priorities", optional = true)
+        boolean honoursPriorities)
+        implements Entity {
+    /** Replaces texts that are null. */
+    public BackendSpec {
+        name = Copies.text(name);
+        service = Copies.text(service);
+        region = Copies.text(region);
+        zone = Copies.text(zone);
+        address = Copies.text(address);
+        model = Copies.text(model);
+    }
+}
--- a/core/src/main/java/io/hornbeamscale/core/document/CustomerSpec.java
+++ b/core/src/main/java/io/hornbeamscale/core/document/CustomerSpec.java
@@ -3,7 +3,7 @@
 import java.util.List;
 
 /**
- * A customer and what it may call.
+ * A customer and what it may call. Lists and texts that are null become empty.
  *
  * @param name the name, unique among customers
  * @param keyHashes lower-case hexadecimal SHA-256 digests of the customer's keys
@@ -13,9 +13,31 @@
  * @param tokensPerSecond the limit of prompt and output tokens per second
  */
 public record CustomerSpec(
-        String name,
+        @FieldRule(meaning = "name, unique among customers") String name,
+
+        @FieldRule(
+                meaning = "SHA-256 digests of the customer's keys; several while a key is replaced",
+                form = TextForm.DIGEST,
+                maxItems = 8,
+                optional = true)
         List<String> keyHashes,
+
+        @FieldRule(meaning = "services that the customer may call", optional = true)
         List<String> services,
+
+        @FieldRule(meaning = "share of the customer when several are backlogged", min = 0.001, max = 1000)
         double weight,
+
+        @FieldRule(meaning = "limit of requests per second over all entries", min = 0.001, max = 1e6)
         double requestsPerSecond,
-        double tokensPerSecond) {}
+
+        @FieldRule(meaning = "limit of prompt and output tokens per second over all entries", min = 0.001, max = 1e9)
+        double tokensPerSecond)
+        implements Entity {
+    /** Copies the lists. */
+    public CustomerSpec {
+        name = Copies.text(name);
+        keyHashes = Copies.list(keyHashes);
+        services = Copies.list(services);
+    }
+}
--- a/core/src/main/java/io/hornbeamscale/core/document/Document.java
+++ b/core/src/main/java/io/hornbeamscale/core/document/Document.java
@@ -3,7 +3,8 @@
 import java.util.List;
 
 /**
- * The operators' document. Lists are in the operators' order.
+ * The operators' document. Lists are in the order in which they were read; the canonical text, which is stored, orders
+ * entities by name. Lists that are null become empty; limits that are null become the defaults.
  *
  * @param services the services
  * @param customers the customers
@@ -20,4 +21,24 @@
         List<WorkKindSpec> workKinds,
         List<BackendSpec> backends,
         List<RegionSpec> regions,
-        LimitsSpec limits) {}
+        LimitsSpec limits) {
+    /** Copies the lists. */
+    public Document {
+        services = Copies.list(services);
+        customers = Copies.list(customers);
+        models = Copies.list(models);
+        workKinds = Copies.list(workKinds);
+        backends = Copies.list(backends);
+        regions = Copies.list(regions);
+        limits = limits == null ? LimitsSpec.defaults() : limits;
+    }
+
+    /**
+     * Returns a document without entities.
+     *
+     * @return the document with default limits, never null
+     */
+    public static Document empty() {
+        return new Document(null, null, null, null, null, null, null);
+    }
+}
--- /dev/null
+++ b/core/src/main/java/io/hornbeamscale/core/document/DocumentYaml.java
@@ -0,0 +1,87 @@
+package io.hornbeamscale.core.document;
+
+import com.fasterxml.jackson.core.JsonProcessingException;
+import com.fasterxml.jackson.core.StreamReadFeature;
+import com.fasterxml.jackson.databind.DeserializationFeature;
+import com.fasterxml.jackson.databind.JsonNode;
+import com.fasterxml.jackson.databind.node.ObjectNode;
+import com.fasterxml.jackson.dataformat.yaml.YAMLFactory;
+import com.fasterxml.jackson.dataformat.yaml.YAMLGenerator;
+import com.fasterxml.jackson.dataformat.yaml.YAMLMapper;
+import io.hornbeamscale.core.util.Arguments;
+import java.util.ArrayList;
+import java.util.List;
+
+/** Reads and writes documents as YAML, of which JSON is a part. */
+public final class DocumentYaml {
+    private static final YAMLMapper MAPPER = YAMLMapper.builder(YAMLFactory.builder()
+                    .disable(YAMLGenerator.Feature.WRITE_DOC_START_MARKER)
+                    .enable(YAMLGenerator.Feature.MINIMIZE_QUOTES)
+                    .enable(YAMLGenerator.Feature.ALWAYS_QUOTE_NUMBERS_AS_STRINGS)
+                    .enable(YAMLGenerator.Feature.INDENT_ARRAYS_WITH_INDICATOR)
+                    .enable(StreamReadFeature.STRICT_DUPLICATE_DETECTION)
+                    .build())
+            .enable(DeserializationFeature.FAIL_ON_TRAILING_TOKENS)
+            .build();
+
+    private DocumentYaml() {}
+
+    /**
+     * Reads and validates a document. All errors are reported at once, except that a text that is not YAML at all is
+     * reported alone.
+     *
+     * @param yaml the text, not null
+     * @return the document and its errors, never null
+     */
+    public static ReadResult read(String yaml) {
+        Arguments.notNull(yaml, "yaml");
+        JsonNode tree;
+        try {
+            tree = MAPPER.readTree(yaml);
+        } catch (JsonProcessingException e) {
+            String line =
+                    e.getLocation() == null ? "" : "line " + e.getLocation().getLineNr() + ": ";
+            return failed(line + e.getOriginalMessage(), "YAML without duplicate keys");
+        }
+        return readTree(tree);
+    }
+
+    /**
+     * Reads and validates a document given as a tree.
+     *
+     * @param tree the tree, not null
+     * @return the document and its errors, never null
+     */
+    public static ReadResult readTree(JsonNode tree) {
+        if (!(tree instanceof ObjectNode root)) {
+            return failed(tree.isMissingNode() ? "" : tree.getNodeType().name(), "a map with the sections");
+        }
+        StructureCheck check = new StructureCheck();
+        Document document = DocumentJson.read(check.cleaned(root));
+        List<Problem> problems = new ArrayList<>(check.problems());
+        for (Problem problem : DocumentValidator.validate(document)) {
+            if (!check.covers(problem.path())) {
+                problems.add(problem);
+            }
+        }
+        return new ReadResult(document, problems);
+    }
+
+    private static ReadResult failed(String value, String allowed) {
+        return new ReadResult(null, List.of(new Problem("document", value, allowed)));
+    }
+
+    /**
+     * Writes a document.
+     *
+     * @param document the document, not null
+     * @return YAML with entities ordered by name, never null
+     */
+    public static String write(Document document) {
+        try {
+            return MAPPER.writeValueAsString(DocumentJson.tree(document));
+        } catch (JsonProcessingException e) {
+            throw new IllegalStateException("cannot write YAML", e);
+        }
+    }
+}
--- /dev/null
+++ b/core/src/main/java/io/hornbeamscale/core/document/EntityField.java
@@ -0,0 +1,108 @@
+package io.hornbeamscale.core.document;
+
+import java.lang.reflect.InvocationTargetException;
+import java.lang.reflect.Method;
+import java.lang.reflect.RecordComponent;
+import java.util.List;
+import java.util.Locale;
+import java.util.stream.Stream;
+
+/**
+ * One field of a record of the document, with its rule.
+ *
+ * @param name the key in the document
+ * @param shape the shape of its values
+ * @param rule what is allowed
+ * @param choices the allowed words of a choice, else empty
+ * @param accessor reads the field
+ */
+public record EntityField(String name, FieldShape shape, FieldRule rule, List<String> choices, Method accessor) {
+    /**
+     * Describes a record component.
+     *
+     * @param component a component that carries a {@link FieldRule}
+     * @return the field, never null
+     */
+    static EntityField of(RecordComponent component) {
+        FieldRule rule = component.getAnnotation(FieldRule.class);
+        if (rule == null) {
+            throw new IllegalStateException("no FieldRule on " + component);
+        }
+        Class<?> type = component.getType();
+        List<String> choices = type.isEnum()
+                ? Stream.of(type.getEnumConstants())
+                        .map(value -> value.toString().toLowerCase(Locale.ROOT))
+                        .toList()
+                : List.of();
+        return new EntityField(component.getName(), shapeOf(type), rule, choices, component.getAccessor());
+    }
+
+    private static FieldShape shapeOf(Class<?> type) {
+        if (type == String.class) {
+            return FieldShape.TEXT;
+        }
+        if (type == List.class) {
+            return FieldShape.TEXTS;
+        }
+        if (type == double.class) {
+            return FieldShape.DECIMAL;
+        }
+        if (type == boolean.class) {
+            return FieldShape.FLAG;
+        }
+        return type.isEnum() ? FieldShape.CHOICE : FieldShape.WHOLE;
+    }
+
+    /**
+     * Reads the field.
+     *
+     * @param owner a record of the class that the field belongs to, not null
+     * @return the value, null only for a choice that was not given
+     */
+    public Object valueOf(Object owner) {
+        try {
+            return accessor.invoke(owner);
+        } catch (IllegalAccessException | InvocationTargetException e) {
+            throw new IllegalStateException("cannot read " + accessor, e);
+        }
+    }
+
+    /**
+     * Reads the field as texts: one for a single value, any number for a list.
+     *
+     * @param owner a record of the class that the field belongs to, not null
+     * @return the texts, never null
+     */
+    public List<String> textsOf(Object owner) {
+        Object value = valueOf(owner);
+        if (value instanceof List<?> list) {
+            return list.stream().map(String::valueOf).toList();
+        }
+        if (value == null) {
+            return List.of();
+        }
+        if (value instanceof Double number) {
+            return List.of(DocumentJson.numberText(number));
+        }
+        return List.of(value instanceof Enum<?> ? value.toString().toLowerCase(Locale.ROOT) : value.toString());
+    }
+
+    /**
+     * Returns what is allowed.
+     *
+     * @return a phrase for messages, never null
+     */
+    public String allowed() {
+        return switch (shape) {
+            case TEXT -> rule.form().allowed() + (rule.optional() ? ", or empty" : "");
+            case TEXTS ->
+                "a list of " + rule.minItems() + " to " + rule.maxItems() + " texts, each "
+                        + rule.form().allowed();
+            case WHOLE -> "a whole number from " + (long) rule.min() + " to " + (long) rule.max();
+            case DECIMAL ->
+                "a number from " + DocumentJson.numberText(rule.min()) + " to " + DocumentJson.numberText(rule.max());
+            case FLAG -> "true or false";
+            case CHOICE -> "one of " + String.join(", ", choices);
+        };
+    }
+}
--- /dev/null
+++ b/core/src/main/java/io/hornbeamscale/core/document/KeyDigest.java
@@ -0,0 +1,28 @@
+package io.hornbeamscale.core.document;
+
+import io.hornbeamscale.core.util.Arguments;
+import java.nio.charset.StandardCharsets;
+import java.security.MessageDigest;
+import java.security.NoSuchAlgorithmException;
+import java.util.HexFormat;
+
+/** SHA-256 digests of customer keys and of canonical texts. */
+public final class KeyDigest {
+    private KeyDigest() {}
+
+    /**
+     * Returns the digest of a text.
+     *
+     * @param text the text, not null
+     * @return 64 lower-case hexadecimal digits
+     */
+    public static String of(String text) {
+        Arguments.notNull(text, "text");
+        try {
+            MessageDigest digest = MessageDigest.getInstance("SHA-256");
+            return HexFormat.of().formatHex(digest.digest(text.getBytes(StandardCharsets.UTF_8)));
+        } catch (NoSuchAlgorithmException e) {
+            throw new IllegalStateException("SHA-256 is missing from this Java runtime", e);
+        }
+    }
+}
--- a/core/src/main/java/io/hornbeamscale/core/document/ModelSpec.java
+++ b/core/src/main/java/io/hornbeamscale/core/document/ModelSpec.java
@@ -3,7 +3,7 @@
 import java.util.List;
 
 /**
- * A model that engines load.
+ * A model that engines load. Lists and texts that are null become empty.
  *
  * @param name the name, unique among models
  * @param version the version that should run
@@ -12,4 +12,28 @@
  * @param typicalOutputTokens the prior of the length estimate, in tokens
  */
 public record ModelSpec(
-        String name, String version, List<String> adapters, int maxOutputTokens, int typicalOutputTokens) {}
+        @FieldRule(meaning = "name as callers write it, unique among models", form = TextForm.MODEL_NAME)
+        String name,
+
+        @FieldRule(meaning = "version that should run; a new one is rolled out gradually", form = TextForm.VERSION)
+        String version,
+
+        @FieldRule(meaning = "adapters to load with the model", form = TextForm.MODEL_NAME, optional = true)
+        List<String> adapters,
+
+        @FieldRule(meaning = "greatest number of output tokens of one request", min = 1, max = 1_000_000)
+        int maxOutputTokens,
+
+        @FieldRule(
+                meaning = "prior of the length estimate in tokens, at most maxOutputTokens",
+                min = 1,
+                max = 1_000_000)
+        int typicalOutputTokens)
+        implements Entity {
+    /** Copies the list. */
+    public ModelSpec {
+        name = Copies.text(name);
+        version = Copies.text(version);
+        adapters = Copies.list(adapters);
+    }
+}
--- /dev/null
+++ b/core/src/main/java/io/hornbeamscale/core/document/ReadResult.java
@@ -0,0 +1,25 @@
+package io.hornbeamscale.core.document;
+
+import java.util.List;
+
+/**
+ * The result of reading a document.
+ *
+ * @param document the document, valid if there are no problems; null if the text is not even a map
+ * @param problems all errors, empty if the document is valid
+ */
+public record ReadResult(Document document, List<Problem> problems) {
+    /** Copies the list. */
+    public ReadResult {
+        problems = Copies.list(problems);
+    }
+
+    /**
+     * Tells whether the document may be published.
+     *
+     * @return true if there are no errors
+     */
+    public boolean isValid() {
+        return problems.isEmpty();
+    }
+}
--- /dev/null
+++ b/core/src/main/java/io/hornbeamscale/core/document/ReferenceCheck.java
@@ -0,0 +1,121 @@
+package io.hornbeamscale.core.document;
+
+import java.util.ArrayList;
+import java.util.List;
+import java.util.Optional;
+
+/** Checks what the entities of a document say about each other. */
+final class ReferenceCheck {
+    private final DocumentIndex index;
+    private final List<Problem> problems = new ArrayList<>();
+
+    private ReferenceCheck(DocumentIndex index) {
+        this.index = index;
+    }
+
+    static List<Problem> check(Document document) {
+        ReferenceCheck check = new ReferenceCheck(new DocumentIndex(document));
+        for (int i = 0; i < document.services().size(); i++) {
+            check.service(document.services().get(i), "services[" + i + "]");
+        }
+        for (int i = 0; i < document.customers().size(); i++) {
+            check.references(
+                    EntityKind.SERVICE, document.customers().get(i).services(), "customers[" + i + "].services");
+        }
+        for (int i = 0; i < document.models().size(); i++) {
+            check.model(document.models().get(i), "models[" + i + "]");
+        }
+        for (int i = 0; i < document.backends().size(); i++) {
+            check.backend(document.backends().get(i), "backends[" + i + "]");
+        }
+        return check.problems;
+    }
+
+    private void references(EntityKind kind, List<String> names, String path) {
+        for (int i = 0; i < names.size(); i++) {
+            reference(kind, names.get(i), path + "[" + i + "]");
+        }
+    }
+
+    private boolean reference(EntityKind kind, String name, String path) {
+        if (index.find(kind, name).isPresent()) {
+            return true;
+        }
+        // An empty name is already reported as missing.
+        if (!name.isEmpty()) {
+            add(path, name, "the name of a " + kind.title() + " of this document");
+        }
+        return false;
+    }
+
+    private void service(ServiceSpec service, String path) {
+        if (service.kind() == ServiceKind.MODEL) {
+            if (service.models().isEmpty()) {
+                add(path + ".models", "", "at least one model for a model service");
+            }
+            if (!service.nonIdempotent().isEmpty()) {
+                add(path + ".nonIdempotent", service.nonIdempotent().get(0), "empty for a model service");
+            }
+        } else if (!service.models().isEmpty()) {
+            add(path + ".models", service.models().get(0), "empty for a plain service");
+        }
+        references(EntityKind.MODEL, service.models(), path + ".models");
+    }
+
+    private void model(ModelSpec model, String path) {
+        if (model.typicalOutputTokens() > model.maxOutputTokens()) {
+            add(
+                    path + ".typicalOutputTokens",
+                    Integer.toString(model.typicalOutputTokens()),
+                    "at most maxOutputTokens (" + model.maxOutputTokens() + ")");
+        }
+    }
+
+    private void backend(BackendSpec backend, String path) {
+        reference(EntityKind.REGION, backend.region(), path + ".region");
+        Optional<RegionSpec> region = index.region(backend.region());
+        if (region.isPresent()
+                && !backend.zone().isEmpty()
+                && !region.get().zones().contains(backend.zone())) {
+            String zones = String.join(", ", region.get().zones());
+            add(path + ".zone", backend.zone(), "an availability zone of " + backend.region() + ": " + zones);
+        }
+        if (reference(EntityKind.SERVICE, backend.service(), path + ".service")) {
+            ServiceSpec service = index.service(backend.service()).orElseThrow();
+            if (service.kind() == ServiceKind.PLAIN) {
+                plainBackend(backend, path);
+            } else if (service.kind() == ServiceKind.MODEL) {
+                modelBackend(backend, service, path);
+            }
+        }
+    }
+
+    private void plainBackend(BackendSpec backend, String path) {
+        if (!backend.model().isEmpty()) {
+            add(path + ".model", backend.model(), "empty for a plain service");
+        }
+        if (backend.memoryTokens() != 0) {
+            add(path + ".memoryTokens", Long.toString(backend.memoryTokens()), "0 for a plain service");
+        }
+    }
+
+    private void modelBackend(BackendSpec backend, ServiceSpec service, String path) {
+        if (!service.models().contains(backend.model())) {
+            String models = String.join(", ", service.models());
+            add(path + ".model", backend.model(), "a model of service " + service.name() + ": " + models);
+        }
+        // A request may ask for maxOutputTokens; in less memory it could never finish.
+        int needed =
+                index.model(backend.model()).map(ModelSpec::maxOutputTokens).orElse(1);
+        if (backend.memoryTokens() < needed) {
+            add(
+                    path + ".memoryTokens",
+                    Long.toString(backend.memoryTokens()),
+                    "at least " + needed + ", the maxOutputTokens of its model");
+        }
+    }
+
+    private void add(String path, String value, String allowed) {
+        problems.add(new Problem(path, value, allowed));
+    }
+}
--- a/core/src/main/java/io/hornbeamscale/core/document/ServiceSpec.java
+++ b/core/src/main/java/io/hornbeamscale/core/document/ServiceSpec.java
@@ -3,7 +3,7 @@
 import java.util.List;
 
 /**
- * A service that customers call.
+ * A service that customers call. Lists and texts that are null become empty.
  *
  * @param name the name, unique among services
  * @param kind the kind of the service
@@ -13,4 +13,32 @@
  * @param deduplicatesKeys whether the backend servers deduplicate calls by idempotency key themselves
  */
 public record ServiceSpec(
-        String name, ServiceKind kind, List<String> models, List<String> nonIdempotent, boolean deduplicatesKeys) {}
+        @FieldRule(meaning = "name, unique among services") String name,
+
+        @FieldRule(meaning = "whether requests run on model engines or pass through to plain HTTP services")
+        ServiceKind kind,
+
+        @FieldRule(
+                meaning = "models that the service offers; at least one for a model service, none for a plain one",
+                form = TextForm.MODEL_NAME,
+                optional = true)
+        List<String> models,
+
+        @FieldRule(
+                meaning = "calls of a plain service that must not be repeated, as method and path prefix",
+                form = TextForm.CALL,
+                optional = true)
+        List<String> nonIdempotent,
+
+        @FieldRule(
+                meaning = "whether the backend servers deduplicate calls by idempotency key themselves",
+                optional = true)
+        boolean deduplicatesKeys)
+        implements Entity {
+    /** Copies the lists. */
+    public ServiceSpec {
+        name = Copies.text(name);
+        models = Copies.list(models);
+        nonIdempotent = Copies.list(nonIdempotent);
+    }
+}
