Admit by predicted peak, order by learned length and fair counters

Cause: the first scheduler admitted by prompt size in arrival order; under load it preempted as often as a plain balancer. Change: length estimates conditioned on emitted tokens, expected peak with adaptive headroom, external use from late reports, lanes by priority and learned length, share for short work, virtual token counters.

--- /dev/null
+++ b/core/src/main/java/io/hornbeamscale/core/estimate/DecayedSketch.java
@@ -0,0 +1,78 @@
+package io.hornbeamscale.core.estimate;
+
+import io.hornbeamscale.core.util.Arguments;
+import org.HdrHistogram.Histogram;
+import org.HdrHistogram.HistogramIterationValue;
+
+/** A quantile sketch in which old values lose weight: all counts are halved each time the window is full. */
+public final class DecayedSketch {
+    /** Counts per value, so that halving keeps fractions of a value. */
+    private static final int UNIT = 256;
+
+    private static final int MAX_VALUE = 1 << 20;
+    private static final int DIGITS = 1;
+
+    private final int window;
+    private Histogram counts = new Histogram(MAX_VALUE, DIGITS);
+
+    /**
+     * Creates an empty sketch.
+     *
+     * @param window the weight at which all counts are halved, in values, greater than 0
+     */
+    public DecayedSketch(int window) {
+        this.window = (int) Arguments.positive(window, "window");
+    }
+
+    /**
+     * Adds a value.
+     *
+     * @param value the value; it is limited to the range from 0 to 1,048,576
+     */
+    public void record(long value) {
+        counts.recordValueWithCount(Math.max(0, Math.min(MAX_VALUE, value)), UNIT);
+        if (weight() >= window) {
+            halve();
+        }
+    }
+
+    private void halve() {
+        Histogram halved = new Histogram(MAX_VALUE, DIGITS);
+        for (HistogramIterationValue v : counts.recordedValues()) {
+            long count = v.getCountAtValueIteratedTo() / 2;
+            if (count > 0) {
+                halved.recordValueWithCount(v.getValueIteratedTo(), count);
+            }
+        }
+        counts = halved;
+    }
+
+    /**
+     * Returns the weight of all values.
+     *
+     * @return the weight in values
+     */
+    public double weight() {
+        return (double) counts.getTotalCount() / UNIT;
+    }
+
+    /**
+     * Returns a quantile.
+     *
+     * @param share the share of values that are not greater, from 0 to 1
+     * @return the quantile, 0 if the sketch is empty
+     */
+    public long quantile(double share) {
+        return weight() == 0 ? 0 : counts.getValueAtPercentile(100 * share);
+    }
+
+    /** Returns the weight of the values in each bucket of the grid, never null. */
+    double[] onGrid() {
+        double[] buckets = new double[Grid.SIZE];
+        for (HistogramIterationValue v : counts.recordedValues()) {
+            long middle = counts.medianEquivalentValue(v.getValueIteratedTo());
+            buckets[Grid.index(middle)] += (double) v.getCountAtValueIteratedTo() / UNIT;
+        }
+        return buckets;
+    }
+}
--- /dev/null
+++ b/core/src/main/java/io/hornbeamscale/core/estimate/package-info.java
@@ -0,0 +1,2 @@
+/** Estimates of output lengths, learned online. */
+package io.hornbeamscale.core.estimate;
--- /dev/null
+++ b/core/src/main/java/io/hornbeamscale/core/schedule/EngineMemory.java
@@ -0,0 +1,183 @@
+package io.hornbeamscale.core.schedule;
+
+import io.hornbeamscale.core.id.AttemptId;
+import io.hornbeamscale.core.work.EngineLoad;
+import java.util.Collection;
+import java.util.LinkedHashMap;
+import java.util.List;
+import java.util.Map;
+
+/**
+ * The ledger of one engine's memory: exact for work that passed through this agent, corrected by load reports for other
+ * work. Decides whether one more request fits below the predicted peak.
+ */
+final class EngineMemory {
+    /** Predictions are computed again after this time, as running responses have grown. */
+    private static final long STALE_MILLIS = 50;
+    /** The time in which the seen use of short work loses half of its weight. */
+    private static final double SHORT_HALF_LIFE_MILLIS = 20_000;
+
+    private final SchedulerConfig config;
+    private final Map<AttemptId, HeldWork> held = new LinkedHashMap<>();
+    private final PeakProfile all = new PeakProfile();
+    private final PeakProfile longOnly = new PeakProfile();
+    private final ExternalUse external;
+    private final Headroom headroom = new Headroom();
+    private long usedTokens;
+    private double shortTokens;
+    private double shortPeak;
+    private long shortPeakMillis;
+    private long computedMillis = Long.MIN_VALUE / 2;
+    private long seenPreemptions = -1;
+
+    EngineMemory(SchedulerConfig config) {
+        this.config = config;
+        this.external = new ExternalUse(config.capacityTokens());
+    }
+
+    HeldWork get(AttemptId attempt) {
+        return held.get(attempt);
+    }
+
+    boolean contains(AttemptId attempt) {
+        return held.containsKey(attempt);
+    }
+
+    Collection<HeldWork> all() {
+        return List.copyOf(held.values());
+    }
+
+    int size() {
+        return held.size();
+    }
+
+    long usedTokens() {
+        return usedTokens;
+    }
+
+    void add(HeldWork h) {
+        held.put(h.reservation.attempt(), h);
+        usedTokens += h.tokens();
+        all.add(h.curve, h.promptTokens, 0, h.maxTokens, 1);
+        if (h.isLong) {
+            longOnly.add(h.curve, h.promptTokens, 0, h.maxTokens, 1);
+        } else {
+            shortTokens += h.tokens();
+        }
+    }
+
+    /** Releases the memory of an attempt and returns it, or null if it holds none. */
+    HeldWork remove(AttemptId attempt) {
+        HeldWork h = held.remove(attempt);
+        if (h != null) {
+            usedTokens -= h.tokens();
+            shortTokens -= h.isLong ? 0 : h.tokens();
+            computedMillis = Long.MIN_VALUE / 2;
+        }
+        return h;
+    }
+
+    void grow(HeldWork h, int tokens, double longTokens) {
+        h.emitted += tokens;
+        usedTokens += tokens;
+        if (h.isLong) {
+            return;
+        }
+        shortTokens += tokens;
+        if (h.emitted > longTokens) {
+            // Learned length was wrong: from here on the response belongs to long work.
+            h.isLong = true;
+            shortTokens -= h.tokens();
+        }
+    }
+
+    void preempted() {
+        headroom.preempted();
+    }
+
+    void report(EngineLoad load) {
+        external.report(load);
+        if (seenPreemptions >= 0 && load.preemptions() > seenPreemptions) {
+            headroom.preempted();
+        }
+        seenPreemptions = load.preemptions();
+    }
+
+    /** Notes a preemption that the agent saw itself, so that the next report does not count it again. */
+    void preemptionSeen() {
+        headroom.preempted();
+        seenPreemptions = seenPreemptions < 0 ? -1 : seenPreemptions + 1;
+    }
+
+    void tick(double waitingShortTokens, long nowMillis) {
+        external.own(usedTokens, nowMillis);
+        headroom.tick(nowMillis);
+        double decay = Math.pow(0.5, Math.max(0, nowMillis - shortPeakMillis) / SHORT_HALF_LIFE_MILLIS);
+        shortPeak = Math.max(shortPeak * decay, shortTokens + waitingShortTokens);
+        shortPeakMillis = nowMillis;
+    }
+
+    /**
+     * Returns whether a request fits.
+     *
+     * @param isHeldBack whether long work has waited so long that short work must stay within its own share
+     */
+    boolean fits(QueuedWork q, boolean isHeldBack, long nowMillis) {
+        if (held.size() >= config.maxRunning()) {
+            return false;
+        }
+        if (config.capacityTokens() == 0 || held.isEmpty()) {
+            return true;
+        }
+        double capacity = config.capacityTokens() - external.tokens(nowMillis);
+        int prompt = q.reservation.work().promptTokens();
+        if (!config.isPredictive()) {
+            return usedTokens + prompt < capacity;
+        }
+        refresh(nowMillis);
+        double share = shareTokens(capacity);
+        if (isHeldBack && !q.isLong && shortTokens + q.tokens() > share) {
+            return false;
+        }
+        if (q.isLong && peakWith(longOnly, q) > capacity - share) {
+            return false;
+        }
+        return peakWith(all, q) <= capacity;
+    }
+
+    /** The tokens that long work cannot take: the set share, but not more than short work has lately used twice. */
+    private double shareTokens(double capacity) {
+        return Math.min(capacity * config.shortSharePercent() / 100, 2 * shortPeak);
+    }
+
+    private double peakWith(PeakProfile profile, QueuedWork q) {
+        int prompt = q.reservation.work().promptTokens();
+        int max = q.reservation.work().maxTokens();
+        profile.add(q.curve, prompt, 0, max, 1);
+        double peak = profile.peak(headroom.deviations());
+        profile.add(q.curve, prompt, 0, max, -1);
+        return peak;
+    }
+
+    private void refresh(long nowMillis) {
+        if (nowMillis - computedMillis < STALE_MILLIS) {
+            return;
+        }
+        computedMillis = nowMillis;
+        all.reset(held.values());
+        longOnly.reset(held.values().stream().filter(h -> h.isLong).toList());
+    }
+
+    /** Returns the share of memory that is used or soon will be. */
+    double pressure(long nowMillis) {
+        if (config.capacityTokens() == 0) {
+            return (double) held.size() / config.maxRunning();
+        }
+        refresh(nowMillis);
+        return (all.peak(0) + external.tokens(nowMillis)) / config.capacityTokens();
+    }
+
+    double deviations() {
+        return headroom.deviations();
+    }
+}
--- a/core/src/main/java/io/hornbeamscale/core/schedule/EngineScheduler.java
+++ b/core/src/main/java/io/hornbeamscale/core/schedule/EngineScheduler.java
@@ -1,11 +1,13 @@
 package io.hornbeamscale.core.schedule;
 
 import io.hornbeamscale.core.id.AttemptId;
+import io.hornbeamscale.core.id.CustomerId;
 import io.hornbeamscale.core.id.GrantId;
 import io.hornbeamscale.core.work.BackendStatus;
 import io.hornbeamscale.core.work.EngineLoad;
 import io.hornbeamscale.core.work.Reservation;
 import java.util.List;
+import java.util.Map;
 
 /**
  * Decides when one backend server takes new work. Every method returns the actions to carry out, never null. The time
@@ -78,6 +80,22 @@
      */
     List<ScheduleAction> load(EngineLoad load, long nowMillis);
 
+    /**
+     * Notes a change of the engine's prefix cache. Such events arrive late, and some are lost.
+     *
+     * @param hash the hash of the prefix
+     * @param isCached whether the prefix entered the cache or left it
+     * @param nowMillis the present time
+     */
+    void prefix(long hash, boolean isCached, long nowMillis);
+
+    /**
+     * Replaces the customers' weights. Customers that are not listed have weight 1.
+     *
+     * @param weights the weights, each greater than 0, not null
+     */
+    void weights(Map<CustomerId, Double> weights);
+
     /**
      * Stops new work: refuses what waits and all that comes later.
      *
--- /dev/null
+++ b/core/src/main/java/io/hornbeamscale/core/schedule/ExternalUse.java
@@ -0,0 +1,53 @@
+package io.hornbeamscale.core.schedule;
+
+import io.hornbeamscale.core.work.EngineLoad;
+import java.util.ArrayDeque;
+import java.util.Deque;
+
+/**
+ * Estimates memory that is used by work which did not pass through this agent: the report minus the agent's own use at
+ * the time of the report. The estimate loses weight as the report ages.
+ */
+final class ExternalUse {
+    private static final long HISTORY_MILLIS = 10_000;
+    private static final double HALF_LIFE_MILLIS = 5_000;
+
+    private final Deque<Sample> own = new ArrayDeque<>();
+    /** Differences below this are due to requests on their way to or from the engine. */
+    private final double tolerance;
+
+    private double tokens;
+    private long measuredMillis;
+
+    ExternalUse(long capacityTokens) {
+        this.tolerance = capacityTokens * 0.02;
+    }
+
+    /** Notes the agent's own use. */
+    void own(long usedTokens, long nowMillis) {
+        own.addLast(new Sample(nowMillis, usedTokens));
+        while (own.size() > 1 && own.peekFirst().millis < nowMillis - HISTORY_MILLIS) {
+            own.removeFirst();
+        }
+    }
+
+    void report(EngineLoad load) {
+        long used = 0;
+        for (Sample s : own) {
+            if (s.millis > load.measuredMillis()) {
+                break;
+            }
+            used = s.usedTokens;
+        }
+        double difference = load.usedTokens() - (double) used;
+        tokens = difference > tolerance ? difference : 0;
+        measuredMillis = load.measuredMillis();
+    }
+
+    double tokens(long nowMillis) {
+        double age = Math.max(0, nowMillis - measuredMillis);
+        return tokens * Math.pow(0.5, age / HALF_LIFE_MILLIS);
+    }
+
+    private record Sample(long millis, long usedTokens) {}
+}
--- /dev/null
+++ b/core/src/main/java/io/hornbeamscale/core/schedule/Headroom.java
@@ -0,0 +1,30 @@
+package io.hornbeamscale.core.schedule;
+
+/**
+ * The margin above the expected peak, in standard deviations. It grows with each preemption and shrinks while there are
+ * none, so that it settles where preemptions are rare.
+ */
+final class Headroom {
+    private static final double MIN = 0.25;
+    private static final double MAX = 4;
+    private static final double START = 1.0;
+    private static final double GROWTH = 0.2;
+    private static final double SHRINK_PER_SECOND = 0.01;
+
+    private double deviations = START;
+    private long lastMillis;
+
+    void preempted() {
+        deviations = Math.min(MAX, deviations + GROWTH);
+    }
+
+    void tick(long nowMillis) {
+        double seconds = Math.max(0, nowMillis - lastMillis) / 1e3;
+        deviations = Math.max(MIN, deviations - SHRINK_PER_SECOND * seconds);
+        lastMillis = nowMillis;
+    }
+
+    double deviations() {
+        return deviations;
+    }
+}
--- /dev/null
+++ b/core/src/main/java/io/hornbeamscale/core/schedule/HeldWork.java
@@ -0,0 +1,37 @@
+package io.hornbeamscale.core.schedule;
+
+import io.hornbeamscale.core.estimate.LengthCurve;
+import io.hornbeamscale.core.id.GrantId;
+import io.hornbeamscale.core.work.Reservation;
+
+/** A granted or running attempt. */
+final class HeldWork {
+    final Reservation reservation;
+    final GrantId grant;
+    final long expiresMillis;
+    final LengthCurve curve;
+    final int promptTokens;
+    final int maxTokens;
+    /** Tokens that the customer's counter was charged in advance. */
+    final double charged;
+
+    int emitted;
+    long lastTokenMillis;
+    boolean isStarted;
+    boolean isLong;
+
+    HeldWork(QueuedWork queued, GrantId grant, long expiresMillis, double charged) {
+        this.reservation = queued.reservation;
+        this.grant = grant;
+        this.expiresMillis = expiresMillis;
+        this.curve = queued.curve;
+        this.promptTokens = reservation.work().promptTokens();
+        this.maxTokens = reservation.work().maxTokens();
+        this.charged = charged;
+        this.isLong = queued.isLong;
+    }
+
+    int tokens() {
+        return promptTokens + emitted;
+    }
+}
--- a/core/src/main/java/io/hornbeamscale/core/schedule/MemoryScheduler.java
+++ b/core/src/main/java/io/hornbeamscale/core/schedule/MemoryScheduler.java
@@ -1,37 +1,70 @@
 package io.hornbeamscale.core.schedule;
 
 import io.hornbeamscale.core.error.ErrorKind;
+import io.hornbeamscale.core.estimate.LengthCurve;
+import io.hornbeamscale.core.estimate.LengthEstimator;
+import io.hornbeamscale.core.estimate.LengthModel;
 import io.hornbeamscale.core.id.AttemptId;
+import io.hornbeamscale.core.id.CustomerId;
 import io.hornbeamscale.core.id.GrantId;
 import io.hornbeamscale.core.util.Arguments;
 import io.hornbeamscale.core.work.BackendStatus;
 import io.hornbeamscale.core.work.EngineLoad;
 import io.hornbeamscale.core.work.Reservation;
+import io.hornbeamscale.core.work.WorkItem;
 import java.util.ArrayList;
-import java.util.Iterator;
-import java.util.LinkedHashMap;
+import java.util.Comparator;
 import java.util.List;
 import java.util.Map;
-import java.util.Set;
 
-/** Grants reservations while the engine's memory and the bound of running requests allow. */
+/**
+ * Grants reservations while the predicted peak of the engine's memory fits. Waiting work is ordered by priority,
+ * learned length and age, and fairly between customers.
+ */
 public final class MemoryScheduler implements EngineScheduler {
     private static final long RETRY_MILLIS = 250;
+    /** Work is long if its expected output exceeds the mean of the service by this factor. */
+    private static final double LONG_FACTOR = 1.5;
+    /** The age at which long work goes before short work of the same priority. */
+    private static final long LONG_PENALTY_MILLIS = 4_000;
+    /** The age by which work of one priority goes before work of the next higher priority. */
+    private static final long PRIORITY_MILLIS = 5_000;
+    /** The age from which long work that does not fit holds short work back to its own share. */
+    private static final long HOLD_MILLIS = 4_000;
 
     private final SchedulerConfig config;
-    private final Map<AttemptId, Reservation> waiting = new LinkedHashMap<>();
-    private final Map<AttemptId, Held> held = new LinkedHashMap<>();
-    private long usedTokens;
+    private final LengthModel lengths;
+    private final FairCounters counters = new FairCounters();
+    private final WaitQueue waiting = new WaitQueue(counters);
+    private final EngineMemory memory;
+    private final PrefixSummary prefixes = new PrefixSummary();
+    private final TokenGaps gaps = new TokenGaps();
+    private double serviceMean;
+    private double waitingShortTokens;
     private long grants;
+    private long orders;
     private boolean isDraining;
 
     /**
-     * Creates a scheduler without work.
+     * Creates a scheduler without work that learns lengths itself.
      *
      * @param config the settings, not null
      */
     public MemoryScheduler(SchedulerConfig config) {
+        this(config, new LengthEstimator(Arguments.notNull(config, "config").typicalTokens()));
+    }
+
+    /**
+     * Creates a scheduler without work.
+     *
+     * @param config the settings, not null
+     * @param lengths the model of output lengths, not null
+     */
+    public MemoryScheduler(SchedulerConfig config, LengthModel lengths) {
         this.config = Arguments.notNull(config, "config");
+        this.lengths = Arguments.notNull(lengths, "lengths");
+        this.memory = new EngineMemory(config);
+        this.serviceMean = config.typicalTokens();
     }
 
     @Override
@@ -40,16 +73,32 @@
         if (isDraining) {
             return List.of(refuse(reservation, ErrorKind.DRAINING, 0));
         }
-        if (held.containsKey(attempt) || waiting.containsKey(attempt)) {
+        if (memory.contains(attempt) || waiting.contains(attempt)) {
             return List.of();
         }
         if (waiting.size() >= config.maxWaiting() || !canEverFit(reservation)) {
             return List.of(refuse(reservation, ErrorKind.OVERLOADED, RETRY_MILLIS));
         }
-        waiting.put(attempt, reservation);
+        QueuedWork q = queued(reservation);
+        waiting.add(q);
+        waitingShortTokens += q.isLong ? 0 : q.tokens();
         return grant(nowMillis);
     }
 
+    private QueuedWork queued(Reservation r) {
+        WorkItem w = r.work();
+        LengthCurve curve = lengths.curve(w);
+        double expected = w.maxTokens() > 0 ? Math.min(w.maxTokens(), curve.mean()) : curve.mean();
+        if (w.isPlain()) {
+            expected = 1;
+        } else {
+            serviceMean = lengths.serviceMean(w);
+        }
+        boolean isLong = config.isPredictive() && expected > LONG_FACTOR * serviceMean;
+        orders++;
+        return new QueuedWork(r, curve, expected, isLong, w.arrivedMillis(), orders);
+    }
+
     private boolean canEverFit(Reservation r) {
         return config.capacityTokens() == 0 || r.work().promptTokens() < config.capacityTokens();
     }
@@ -60,56 +109,84 @@
 
     private List<ScheduleAction> grant(long nowMillis) {
         List<ScheduleAction> out = new ArrayList<>();
-        Iterator<Reservation> it = waiting.values().iterator();
-        while (it.hasNext()) {
-            Reservation r = it.next();
-            if (!fits(r)) {
+        while (waiting.size() > 0 && memory.size() < config.maxRunning()) {
+            QueuedWork next = next(nowMillis);
+            if (next == null) {
                 break;
             }
-            it.remove();
-            out.add(issue(r, nowMillis));
+            out.add(issue(next, nowMillis));
         }
         return out;
     }
 
-    private boolean fits(Reservation r) {
-        if (held.size() >= config.maxRunning()) {
-            return false;
+    /** Returns the most urgent reservation that fits, or null. */
+    private QueuedWork next(long nowMillis) {
+        List<QueuedWork> heads = waiting.heads();
+        heads.sort(Comparator.comparingDouble(MemoryScheduler::urgency).thenComparingLong(q -> q.order));
+        boolean isHeldBack = false;
+        for (QueuedWork q : heads) {
+            if (memory.fits(q, isHeldBack, nowMillis)) {
+                return q;
+            }
+            isHeldBack |= q.isLong && nowMillis - q.reservation.work().arrivedMillis() > HOLD_MILLIS;
         }
-        return config.capacityTokens() == 0
-                || usedTokens + r.work().promptTokens() < config.capacityTokens()
-                || held.isEmpty();
+        return null;
+    }
+
+    private static double urgency(QueuedWork q) {
+        WorkItem w = q.reservation.work();
+        long penalty = q.isLong ? LONG_PENALTY_MILLIS : 0;
+        return w.arrivedMillis() + penalty - (double) w.priority() * PRIORITY_MILLIS;
     }
 
-    private ScheduleAction issue(Reservation r, long nowMillis) {
+    private ScheduleAction issue(QueuedWork q, long nowMillis) {
+        Reservation r = q.reservation;
+        // Entering before leaving keeps the customer active, so that its counter is not lifted.
+        counters.enter(r.work().customer());
+        forget(r.attempt());
         grants++;
         GrantId grant = new GrantId(config.incarnation(), grants);
-        Held h = new Held(r, grant, nowMillis + config.grantMillis());
-        held.put(r.attempt(), h);
-        usedTokens += h.tokens;
+        HeldWork h = new HeldWork(q, grant, nowMillis + config.grantMillis(), q.tokens());
+        charge(h, h.charged);
+        memory.add(h);
         return new ScheduleAction.SendGrant(r.entry(), r.attempt(), grant, config.grantMillis());
     }
 
+    private void charge(HeldWork h, double tokens) {
+        if (config.isFair()) {
+            counters.charge(h.reservation.work().customer(), tokens);
+        }
+    }
+
+    private void forget(AttemptId attempt) {
+        QueuedWork q = waiting.remove(attempt);
+        if (q != null && !q.isLong) {
+            waitingShortTokens = Math.max(0, waitingShortTokens - q.tokens());
+        }
+    }
+
+    private HeldWork release(AttemptId attempt) {
+        HeldWork h = memory.remove(attempt);
+        if (h != null) {
+            charge(h, Math.min(0, (h.isStarted ? h.tokens() : 0) - h.charged));
+            counters.leave(h.reservation.work().customer());
+        }
+        return h;
+    }
+
     @Override
     public List<ScheduleAction> cancel(AttemptId attempt, long nowMillis) {
-        waiting.remove(attempt);
-        Held h = held.get(attempt);
+        forget(attempt);
+        HeldWork h = memory.get(attempt);
         if (h != null && !h.isStarted) {
             release(attempt);
         }
         return grant(nowMillis);
     }
 
-    private void release(AttemptId attempt) {
-        Held h = held.remove(attempt);
-        if (h != null) {
-            usedTokens -= h.tokens;
-        }
-    }
-
     @Override
     public boolean start(AttemptId attempt, GrantId grant, long nowMillis) {
-        Held h = held.get(attempt);
+        HeldWork h = memory.get(attempt);
         if (h == null || h.isStarted || !h.grant.equals(grant) || nowMillis >= h.expiresMillis) {
             return false;
         }
@@ -119,56 +196,82 @@
 
     @Override
     public List<ScheduleAction> tokens(AttemptId attempt, int count, long nowMillis) {
-        Held h = held.get(attempt);
-        if (h != null) {
-            h.tokens += count;
-            usedTokens += count;
+        HeldWork h = memory.get(attempt);
+        if (h == null) {
+            return List.of();
+        }
+        gaps.token(h.lastTokenMillis, count, nowMillis);
+        h.lastTokenMillis = nowMillis;
+        memory.grow(h, count, LONG_FACTOR * serviceMean);
+        double beyond = h.tokens() - h.charged;
+        if (beyond > 0) {
+            charge(h, Math.min(count, beyond));
         }
         return List.of();
     }
 
     @Override
     public List<ScheduleAction> preempted(AttemptId attempt, long nowMillis) {
+        memory.preemptionSeen();
+        HeldWork h = memory.get(attempt);
+        if (h != null) {
+            // The pause until the attempt runs again is no sign of a slow engine.
+            h.lastTokenMillis = 0;
+        }
         return List.of();
     }
 
     @Override
     public List<ScheduleAction> ended(AttemptId attempt, boolean isComplete, long nowMillis) {
-        release(attempt);
+        HeldWork h = release(attempt);
+        if (h != null && isComplete && !h.reservation.work().isPlain()) {
+            lengths.observe(h.reservation.work(), h.emitted);
+        }
         return grant(nowMillis);
     }
 
     @Override
     public List<ScheduleAction> load(EngineLoad load, long nowMillis) {
+        memory.report(load);
         return List.of();
     }
 
+    @Override
+    public void prefix(long hash, boolean isCached, long nowMillis) {
+        prefixes.change(hash, isCached);
+    }
+
+    @Override
+    public void weights(Map<CustomerId, Double> weights) {
+        counters.weights(Arguments.notNull(weights, "weights"));
+    }
+
     @Override
     public List<ScheduleAction> drain(long nowMillis) {
         isDraining = true;
         List<ScheduleAction> out = new ArrayList<>();
-        for (Reservation r : waiting.values()) {
-            out.add(refuse(r, ErrorKind.DRAINING, 0));
+        for (QueuedWork q : waiting.all()) {
+            forget(q.reservation.attempt());
+            out.add(refuse(q.reservation, ErrorKind.DRAINING, 0));
         }
-        waiting.clear();
         return out;
     }
 
     @Override
     public List<ScheduleAction> tick(long nowMillis) {
         List<ScheduleAction> out = new ArrayList<>();
-        for (Held h : List.copyOf(held.values())) {
+        memory.tick(waitingShortTokens, nowMillis);
+        for (HeldWork h : memory.all()) {
             if (!h.isStarted && nowMillis >= h.expiresMillis) {
                 release(h.reservation.attempt());
             }
         }
-        waiting.values().removeIf(r -> {
-            if (nowMillis < r.work().deadlineMillis()) {
-                return false;
+        for (QueuedWork q : waiting.all()) {
+            if (nowMillis >= q.reservation.work().deadlineMillis()) {
+                forget(q.reservation.attempt());
+                out.add(refuse(q.reservation, ErrorKind.DEADLINE_EXCEEDED, 0));
             }
-            out.add(refuse(r, ErrorKind.DEADLINE_EXCEEDED, 0));
-            return true;
-        });
+        }
         out.addAll(grant(nowMillis));
         return out;
     }
@@ -179,28 +282,30 @@
                 config.backend(),
                 config.incarnation(),
                 config.capacityTokens(),
-                usedTokens,
-                held.size(),
+                memory.usedTokens(),
+                memory.size(),
                 waiting.size(),
-                0,
-                0,
+                expectedWait(),
+                gaps.gapMillis(memory.size(), nowMillis),
                 isDraining,
-                Set.of());
+                prefixes.hashes());
     }
 
-    /** A granted or running attempt. */
-    private static final class Held {
-        final Reservation reservation;
-        final GrantId grant;
-        final long expiresMillis;
-        long tokens;
-        boolean isStarted;
-
-        Held(Reservation reservation, GrantId grant, long expiresMillis) {
-            this.reservation = reservation;
-            this.grant = grant;
-            this.expiresMillis = expiresMillis;
-            this.tokens = reservation.work().promptTokens();
+    /** Half of the waiting work counts, as each request waits at two agents. */
+    private long expectedWait() {
+        if (waiting.size() == 0) {
+            return 0;
         }
+        double rate = Math.max(0.1, gaps.tokensPerMilli());
+        return (long) Math.min(600_000, waiting.tokens() / 2 / rate);
+    }
+
+    /**
+     * Returns the margin above the predicted peak.
+     *
+     * @return the margin in standard deviations
+     */
+    public double headroom() {
+        return memory.deviations();
     }
 }
--- /dev/null
+++ b/core/src/main/java/io/hornbeamscale/core/schedule/PeakProfile.java
@@ -0,0 +1,55 @@
+package io.hornbeamscale.core.schedule;
+
+import io.hornbeamscale.core.estimate.LengthCurve;
+import java.util.Collection;
+
+/**
+ * The expected memory of everything that runs and its spread, at several numbers of steps ahead. Each step emits one
+ * token of each running response, and a response that has ended holds no memory.
+ */
+final class PeakProfile {
+    private static final int[] STEPS = {
+        0, 16, 32, 64, 96, 128, 192, 256, 320, 384, 512, 640, 768, 1_024, 1_280, 1_536, 2_048, 3_072, 4_096, 8_192,
+        16_384
+    };
+
+    private final double[] mean = new double[STEPS.length];
+    private final double[] variance = new double[STEPS.length];
+
+    void reset(Collection<HeldWork> held) {
+        java.util.Arrays.fill(mean, 0);
+        java.util.Arrays.fill(variance, 0);
+        for (HeldWork h : held) {
+            add(h.curve, h.promptTokens, h.emitted, h.maxTokens, 1);
+        }
+    }
+
+    void add(LengthCurve curve, int promptTokens, int emitted, int maxTokens, int sign) {
+        double alive = Math.max(1e-12, curve.survival(emitted));
+        long context = promptTokens + (long) emitted;
+        int left = maxTokens > 0 ? Math.max(0, maxTokens - emitted) : Integer.MAX_VALUE;
+        for (int i = 0; i < STEPS.length; i++) {
+            // The limit lies between two steps: its memory counts at the later one, so that it is not overlooked.
+            int step = Math.min(STEPS[i], left);
+            double p = step == 0 ? 1 : Math.min(1, curve.survival(emitted + step - 1) / alive);
+            if (p < 1e-6) {
+                break;
+            }
+            double size = context + (double) step;
+            mean[i] += sign * p * size;
+            variance[i] += sign * p * (1 - p) * size * size;
+            if (step < STEPS[i]) {
+                break;
+            }
+        }
+    }
+
+    /** Returns the greatest memory over all steps, with a number of standard deviations on top. */
+    double peak(double deviations) {
+        double peak = 0;
+        for (int i = 0; i < STEPS.length; i++) {
+            peak = Math.max(peak, mean[i] + deviations * Math.sqrt(Math.max(0, variance[i])));
+        }
+        return peak;
+    }
+}
--- /dev/null
+++ b/core/src/main/java/io/hornbeamscale/core/schedule/QueuedWork.java
@@ -0,0 +1,35 @@
+package io.hornbeamscale.core.schedule;
+
+import io.hornbeamscale.core.estimate.LengthCurve;
+import io.hornbeamscale.core.work.Reservation;
+
+/** A waiting reservation with what is expected of it. */
+final class QueuedWork {
+    final Reservation reservation;
+    final LengthCurve curve;
+    final double expectedTokens;
+    final boolean isLong;
+    /** Work with a smaller rank goes first within its customer. */
+    final double rank;
+
+    final long order;
+
+    QueuedWork(
+            Reservation reservation,
+            LengthCurve curve,
+            double expectedTokens,
+            boolean isLong,
+            double rank,
+            long order) {
+        this.reservation = reservation;
+        this.curve = curve;
+        this.expectedTokens = expectedTokens;
+        this.isLong = isLong;
+        this.rank = rank;
+        this.order = order;
+    }
+
+    double tokens() {
+        return reservation.work().promptTokens() + expectedTokens;
+    }
+}
--- a/core/src/main/java/io/hornbeamscale/core/schedule/SchedulerConfig.java
+++ b/core/src/main/java/io/hornbeamscale/core/schedule/SchedulerConfig.java
@@ -12,9 +12,22 @@
  * @param maxRunning the greatest number of requests that run at once
  * @param maxWaiting the greatest number of waiting reservations
  * @param grantMillis how long a grant is valid, in milliseconds
+ * @param typicalTokens the output length to assume before any response was seen, in tokens
+ * @param shortSharePercent the share of memory that long work cannot take while there is short work, in percent
+ * @param isPredictive whether admission and order use expected lengths; without, only the prompt counts
+ * @param isFair whether customers are ordered by their weighted tokens
  */
 public record SchedulerConfig(
-        BackendId backend, long incarnation, long capacityTokens, int maxRunning, int maxWaiting, long grantMillis) {
+        BackendId backend,
+        long incarnation,
+        long capacityTokens,
+        int maxRunning,
+        int maxWaiting,
+        long grantMillis,
+        int typicalTokens,
+        int shortSharePercent,
+        boolean isPredictive,
+        boolean isFair) {
     /** Checks the parts. */
     public SchedulerConfig {
         Arguments.notNull(backend, "backend");
@@ -22,6 +35,8 @@
         Arguments.positive(maxRunning, "maxRunning");
         Arguments.positive(maxWaiting, "maxWaiting");
         Arguments.positive(grantMillis, "grantMillis");
+        Arguments.positive(typicalTokens, "typicalTokens");
+        Arguments.inRange(shortSharePercent, 0, 90, "shortSharePercent");
     }
 
     /**
@@ -43,6 +58,10 @@
         private int maxRunning = 64;
         private int maxWaiting = 4_096;
         private long grantMillis = 1_000;
+        private int typicalTokens = 400;
+        private int shortSharePercent = 15;
+        private boolean isPredictive = true;
+        private boolean isFair = true;
 
         private Builder(BackendId backend, long incarnation) {
             this.backend = backend;
@@ -93,6 +112,50 @@
             return this;
         }
 
+        /**
+         * Sets the prior of the length estimate.
+         *
+         * @param value the output length in tokens, greater than 0
+         * @return this builder
+         */
+        public Builder typicalTokens(int value) {
+            typicalTokens = value;
+            return this;
+        }
+
+        /**
+         * Sets the share of memory that long work cannot take.
+         *
+         * @param value the share in percent, from 0 to 90; 0 switches it off
+         * @return this builder
+         */
+        public Builder shortSharePercent(int value) {
+            shortSharePercent = value;
+            return this;
+        }
+
+        /**
+         * Sets whether expected lengths are used.
+         *
+         * @param value whether admission and order use expected lengths
+         * @return this builder
+         */
+        public Builder predictive(boolean value) {
+            isPredictive = value;
+            return this;
+        }
+
+        /**
+         * Sets whether customers are ordered by their weighted tokens.
+         *
+         * @param value whether the order is fair between customers
+         * @return this builder
+         */
+        public Builder fair(boolean value) {
+            isFair = value;
+            return this;
+        }
+
         /**
          * Builds the settings.
          *
@@ -100,7 +163,17 @@
          * @throws IllegalArgumentException if a value is out of range
          */
         public SchedulerConfig build() {
-            return new SchedulerConfig(backend, incarnation, capacityTokens, maxRunning, maxWaiting, grantMillis);
+            return new SchedulerConfig(
+                    backend,
+                    incarnation,
+                    capacityTokens,
+                    maxRunning,
+                    maxWaiting,
+                    grantMillis,
+                    typicalTokens,
+                    shortSharePercent,
+                    isPredictive,
+                    isFair);
         }
     }
 }
--- /dev/null
+++ b/core/src/main/java/io/hornbeamscale/core/schedule/WaitQueue.java
@@ -0,0 +1,111 @@
+package io.hornbeamscale.core.schedule;
+
+import io.hornbeamscale.core.id.AttemptId;
+import io.hornbeamscale.core.id.CustomerId;
+import java.util.ArrayList;
+import java.util.Collection;
+import java.util.Comparator;
+import java.util.HashMap;
+import java.util.List;
+import java.util.Map;
+import java.util.TreeMap;
+import java.util.TreeSet;
+
+/**
+ * Waiting reservations in lanes by priority and learned length. Within a lane, the customer with the least counter goes
+ * first, and within a customer the reservation with the least rank.
+ */
+final class WaitQueue {
+    private static final Comparator<QueuedWork> BY_RANK =
+            Comparator.comparingDouble((QueuedWork q) -> q.rank).thenComparingLong(q -> q.order);
+
+    private final FairCounters counters;
+    private final Map<AttemptId, QueuedWork> byAttempt = new HashMap<>();
+    private final TreeMap<Lane, Map<CustomerId, TreeSet<QueuedWork>>> lanes = new TreeMap<>();
+    private double tokens;
+
+    WaitQueue(FairCounters counters) {
+        this.counters = counters;
+    }
+
+    void add(QueuedWork q) {
+        byAttempt.put(q.reservation.attempt(), q);
+        tokens += q.expectedTokens;
+        lanes.computeIfAbsent(Lane.of(q), k -> new HashMap<>())
+                .computeIfAbsent(customer(q), k -> new TreeSet<>(BY_RANK))
+                .add(q);
+        counters.enter(customer(q));
+    }
+
+    private static CustomerId customer(QueuedWork q) {
+        return q.reservation.work().customer();
+    }
+
+    /** Removes a reservation and returns it, or null if it does not wait. */
+    QueuedWork remove(AttemptId attempt) {
+        QueuedWork q = byAttempt.remove(attempt);
+        if (q == null) {
+            return null;
+        }
+        tokens = byAttempt.isEmpty() ? 0 : tokens - q.expectedTokens;
+        Map<CustomerId, TreeSet<QueuedWork>> lane = lanes.get(Lane.of(q));
+        TreeSet<QueuedWork> own = lane.get(customer(q));
+        own.remove(q);
+        if (own.isEmpty()) {
+            lane.remove(customer(q));
+        }
+        if (lane.isEmpty()) {
+            lanes.remove(Lane.of(q));
+        }
+        counters.leave(customer(q));
+        return q;
+    }
+
+    /** Returns the first reservation of each lane, never null. */
+    List<QueuedWork> heads() {
+        List<QueuedWork> heads = new ArrayList<>(lanes.size());
+        for (Map<CustomerId, TreeSet<QueuedWork>> lane : lanes.values()) {
+            QueuedWork best = null;
+            double least = Double.MAX_VALUE;
+            for (Map.Entry<CustomerId, TreeSet<QueuedWork>> e : lane.entrySet()) {
+                double value = counters.value(e.getKey());
+                QueuedWork first = e.getValue().first();
+                if (best == null || value < least || (value == least && BY_RANK.compare(first, best) < 0)) {
+                    best = first;
+                    least = value;
+                }
+            }
+            heads.add(best);
+        }
+        return heads;
+    }
+
+    boolean contains(AttemptId attempt) {
+        return byAttempt.containsKey(attempt);
+    }
+
+    Collection<QueuedWork> all() {
+        return List.copyOf(byAttempt.values());
+    }
+
+    int size() {
+        return byAttempt.size();
+    }
+
+    /** Returns the expected output of everything that waits. */
+    double tokens() {
+        return tokens;
+    }
+
+    private record Lane(int priority, boolean isLong) implements Comparable<Lane> {
+        static Lane of(QueuedWork q) {
+            return new Lane(q.reservation.work().priority(), q.isLong);
+        }
+
+        @Override
+        public int compareTo(Lane other) {
+            int byPriority = Integer.compare(other.priority, priority);
+            return byPriority != 0 ? byPriority : Boolean.compare(isLong, other.isLong);
+        }
+    }
+}
--- a/measure/src/main/java/io/hornbeamscale/measure/sim/AgentNode.java
+++ b/measure/src/main/java/io/hornbeamscale/measure/sim/AgentNode.java
@@ -37,10 +37,16 @@
         this.index = index;
         this.control = control;
         this.backend = ControlPlane.backend(index);
-        this.scheduler = new MemoryScheduler(SchedulerConfig.builder(backend, seed)
+        SchedulerConfig config = SchedulerConfig.builder(backend, seed)
                 .capacityTokens(control.scenario().engine().capacityTokens())
                 .maxRunning(control.scenario().engine().maxRunning())
-                .build());
+                .predictive(control.has("prediction"))
+                .fair(control.has("fairness"))
+                .shortSharePercent(control.has("short-share") ? 15 : 0)
+                .build();
+        this.scheduler = control.policy() == Policy.ORACLE
+                ? new MemoryScheduler(config, control.truth())
+                : new MemoryScheduler(config);
         control.cluster().loop().after(0, this::sendStatus);
         control.cluster().loop().every(STATUS_MICROS, this::sendStatus);
         control.cluster().loop().every(TICK_MICROS, () -> perform(scheduler.tick(now())));
@@ -158,7 +164,7 @@
 
     @Override
     public void cacheChanged(long hash, boolean isCached) {
-        // The scheduler does not take cache events yet.
+        scheduler.prefix(hash, isCached, now());
     }
 
     /** The owner of a job that this agent started. */
--- a/measure/src/main/java/io/hornbeamscale/measure/sim/ControlPlane.java
+++ b/measure/src/main/java/io/hornbeamscale/measure/sim/ControlPlane.java
@@ -18,16 +18,24 @@
     private final Recorder recorder;
     private final Policy policy;
     private final Set<String> without;
+    private final TrueLengths truth;
     private final List<AgentNode> agents = new ArrayList<>();
     private final List<ControlledEntry> entries = new ArrayList<>();
     private final List<BackendPlace> places = new ArrayList<>();
 
-    ControlPlane(Scenario scenario, Cluster cluster, Recorder recorder, Policy policy, Set<String> without) {
+    ControlPlane(
+            Scenario scenario,
+            Cluster cluster,
+            Recorder recorder,
+            Policy policy,
+            Set<String> without,
+            TrueLengths truth) {
         this.scenario = scenario;
         this.cluster = cluster;
         this.recorder = recorder;
         this.policy = policy;
         this.without = Set.copyOf(without);
+        this.truth = truth;
         for (int i = 0; i < cluster.size(); i++) {
             Site s = cluster.site(i);
             places.add(new BackendPlace(
@@ -87,6 +95,10 @@
         return policy;
     }
 
+    TrueLengths truth() {
+        return truth;
+    }
+
     boolean has(String mechanism) {
         return !without.contains(mechanism);
     }
--- a/measure/src/main/java/io/hornbeamscale/measure/sim/Recorder.java
+++ b/measure/src/main/java/io/hornbeamscale/measure/sim/Recorder.java
@@ -103,7 +103,7 @@
         f.put("gap_p95_ms", gaps.getValueAtPercentile(95) / 1e3);
         f.put("gap_p99_ms", gaps.getValueAtPercentile(99) / 1e3);
         f.put("goodput_tps", goodput(s -> s >= Scenario.WARM_UP_SECONDS && s < scenario.seconds()));
-        f.put("peak_goodput_tps", goodput(s -> s < scenario.seconds() && scenario.isCrest(s)));
+        f.put("peak_goodput_tps", goodput(s -> s < scenario.seconds() && scenario.isPeak(s)));
         f.put("useful_peak_tps", usefulAtPeak());
         f.put("fair_gap_tokens", fairGap());
         f.put(
--- a/measure/src/main/java/io/hornbeamscale/measure/sim/Scenario.java
+++ b/measure/src/main/java/io/hornbeamscale/measure/sim/Scenario.java
@@ -45,7 +45,7 @@
     public enum Swing {
         /** Random factors for each second, 1 on average. */
         GUSTS,
-        /** The same, and four times the load for five seconds out of forty. */
+        /** The same, and four times the load for ten seconds out of sixty. */
         CREST
     }
 
@@ -56,7 +56,17 @@
      * @return whether the time is within a crest
      */
     public boolean isCrest(double second) {
-        return swing == Swing.CREST && second >= WARM_UP_SECONDS && second % 40 >= 20 && second % 40 < 25;
+        return swing == Swing.CREST && second >= WARM_UP_SECONDS && second % 60 >= 20 && second % 60 < 30;
+    }
+
+    /**
+     * Returns whether a crest is on or its backlog is still being worked off.
+     *
+     * @param second the time in seconds
+     * @return whether the time is within 20 s of the start of a crest
+     */
+    public boolean isPeak(double second) {
+        return isCrest(second) || isCrest(second - 10);
     }
 
     /**
--- a/measure/src/main/java/io/hornbeamscale/measure/sim/Simulation.java
+++ b/measure/src/main/java/io/hornbeamscale/measure/sim/Simulation.java
@@ -37,7 +37,9 @@
         this.cluster = new Cluster(scenario, loop);
         this.recorder = new Recorder(scenario);
         List<RequestSpec> trace = Trace.of(scenario, seed);
-        this.control = policy.isControlled() ? new ControlPlane(scenario, cluster, recorder, policy, without) : null;
+        this.control = policy.isControlled()
+                ? new ControlPlane(scenario, cluster, recorder, policy, without, new TrueLengths(trace))
+                : null;
         for (int i = 0; i < cluster.size(); i++) {
             cluster.add(control == null ? new DirectListener() : control.agent(i, seed), seed * 31 + i);
         }
--- a/measure/src/main/java/io/hornbeamscale/measure/sim/Trace.java
+++ b/measure/src/main/java/io/hornbeamscale/measure/sim/Trace.java
@@ -17,6 +17,7 @@
 
     private final Scenario scenario;
     private final Random random;
+    private double swell;
     private final List<RequestSpec> specs = new ArrayList<>();
 
     private Trace(Scenario scenario, long seed) {
@@ -66,9 +67,13 @@
         }
     }
 
+    /** Varies from second to second, and over about ten seconds, with mean 1. */
     private double gust() {
-        double sigma = 0.35;
-        return Math.exp(sigma * random.nextGaussian() - sigma * sigma / 2);
+        double keep = 0.9;
+        swell = keep * swell + Math.sqrt(1 - keep * keep) * random.nextGaussian();
+        double quick = random.nextGaussian();
+        double sigma = 0.25;
+        return Math.exp(sigma * (swell + quick) - sigma * sigma);
     }
 
     private void arrivals(int second, double rate, int customer) {
--- /dev/null
+++ b/measure/src/main/java/io/hornbeamscale/measure/sim/TrueLengths.java
@@ -0,0 +1,47 @@
+package io.hornbeamscale.measure.sim;
+
+import io.hornbeamscale.core.estimate.LengthCurve;
+import io.hornbeamscale.core.estimate.LengthModel;
+import io.hornbeamscale.core.id.RequestId;
+import io.hornbeamscale.core.work.WorkItem;
+import java.util.HashMap;
+import java.util.List;
+import java.util.Map;
+
+/** Knows the length of every response of a trace. */
+final class TrueLengths implements LengthModel {
+    private final Map<RequestId, Integer> lengths = new HashMap<>();
+    private final double mean;
+
+    TrueLengths(List<RequestSpec> trace) {
+        trace.forEach(s -> lengths.put(s.work().request(), s.outputTokens()));
+        mean = trace.stream().mapToInt(RequestSpec::outputTokens).average().orElse(1);
+    }
+
+    @Override
+    public LengthCurve curve(WorkItem work) {
+        return new Known(lengths.get(work.request()));
+    }
+
+    @Override
+    public double serviceMean(WorkItem work) {
+        return mean;
+    }
+
+    @Override
+    public void observe(WorkItem work, int outputTokens) {
+        // Nothing is left to learn.
+    }
+
+    private record Known(int length) implements LengthCurve {
+        @Override
+        public double survival(int tokens) {
+            return tokens < length ? 1 : 0;
+        }
+
+        @Override
+        public double mean() {
+            return length;
+        }
+    }
+}
