Publish document, writer id and audit record with one compare-and-swap

Cause: operators need publishing that loses no update, history with rollback, and an audit trail that cannot differ from what was published.

Change: PublishController reads the head, checks the change, moves older audit records to a segment and swaps the head; a lost reply is settled by the writer id in the record of the next version. Audit records keep the earlier values, so HistoryController rebuilds any version and rollback needs no copies of old documents. EventTrailController writes other events in batches. Publishing lives in core.audit, since a document and its record are one value.

Conclusion: a document may hold 400,000 bytes, so that a change of everything with its earlier states fits into a value of 1 MB. An earlier limit of 460,000 bytes with long field names did not fit and was lowered.

--- /dev/null
+++ b/core/src/main/java/io/hornbeamscale/core/audit/EventTrailController.java
@@ -0,0 +1,254 @@
+package io.hornbeamscale.core.audit;
+
+import com.fasterxml.jackson.databind.node.ObjectNode;
+import io.hornbeamscale.core.document.DocumentJson;
+import io.hornbeamscale.core.error.ServingException;
+import io.hornbeamscale.core.store.StoreCall;
+import io.hornbeamscale.core.store.StoreReply;
+import io.hornbeamscale.core.util.Arguments;
+import java.nio.charset.StandardCharsets;
+import java.util.ArrayDeque;
+import java.util.ArrayList;
+import java.util.Deque;
+import java.util.List;
+import java.util.Optional;
+import java.util.random.RandomGenerator;
+
+/**
+ * Writes audit events to the store in batches, so that events do not cost one write each. A batch has a writer id;
+ * after a lost reply the controller reads back and recognises its batch, so each event is written exactly once as
+ * long as the process lives. Events that were not written yet are lost with the process; while the store is down, the
+ * oldest are dropped beyond a bound and their number is recorded.
+ */
+public final class EventTrailController {
+    /** How long events are collected before they are written, in milliseconds. */
+    public static final long FLUSH_MILLIS = 30_000;
+
+    /** How many events are written at once at most. */
+    public static final int MAX_BATCH = 200;
+
+    /** How many events wait at most. */
+    public static final int MAX_WAITING = 1_000;
+
+    // 8 keys spread the nodes' writes, so that few of them conflict.
+    private static final int PARTITIONS = 8;
+
+    private final String node;
+    private final String key;
+    private final TrailLimits limits;
+    private final RandomGenerator random;
+    private final Deque<AuditEvent> waiting = new ArrayDeque<>();
+    private long dropped;
+    private long sequence;
+    private long flushAtMillis = Long.MAX_VALUE;
+    private boolean isCalling;
+    private List<AuditEvent> batch = List.of();
+    private String writer = "";
+    private long headRevision;
+    private TrailRoll<EventBatch> roll;
+    private long nextNumber;
+    private long attemptedNumber;
+    private Trail<EventBatch> head = Trail.empty();
+    private boolean isSwapping;
+    private boolean isSettling;
+    private Retries retries;
+
+    /**
+     * Creates a controller.
+     *
+     * @param node an id of the process that names its incarnation, not blank
+     * @param limits when batches move to segments, not null
+     * @param random spreads writes and retries, not null
+     */
+    public EventTrailController(String node, TrailLimits limits, RandomGenerator random) {
+        this.node = Arguments.notBlank(node, "node");
+        this.limits = Arguments.notNull(limits, "limits");
+        this.random = Arguments.notNull(random, "random");
+        this.key = key(Math.floorMod(node.hashCode(), PARTITIONS));
+        this.retries = new Retries(random);
+    }
+
+    /**
+     * Returns the keys of all event trails.
+     *
+     * @return the keys, never null
+     */
+    public static List<String> keys() {
+        List<String> keys = new ArrayList<>();
+        for (int i = 0; i < PARTITIONS; i++) {
+            keys.add(key(i));
+        }
+        return keys;
+    }
+
+    private static String key(int partition) {
+        return "audit/events/" + partition;
+    }
+
+    /**
+     * Reads an event trail.
+     *
+     * @param value the value of one of {@link #keys()} or of a segment, not null
+     * @return the trail, never null
+     * @throws ServingException if the value is no trail
+     */
+    public static Trail<EventBatch> decode(String value) {
+        return Trail.fromTree(DocumentJson.parse(value), EventBatch.class);
+    }
+
+    /**
+     * Collects an event.
+     *
+     * @param event the event, not null
+     * @param nowMillis the present time in milliseconds
+     */
+    public void record(AuditEvent event, long nowMillis) {
+        waiting.addLast(Arguments.notNull(event, "event"));
+        if (waiting.size() > MAX_WAITING) {
+            waiting.removeFirst();
+            dropped++;
+        }
+        if (flushAtMillis == Long.MAX_VALUE) {
+            flushAtMillis = nowMillis + FLUSH_MILLIS / 2 + random.nextLong(FLUSH_MILLIS / 2);
+        }
+    }
+
+    /**
+     * Returns how many events were dropped and are not recorded as such yet.
+     *
+     * @return the number of events
+     */
+    public long dropped() {
+        return dropped;
+    }
+
+    /**
+     * Starts to write collected events if it is time.
+     *
+     * @param nowMillis the present time in milliseconds
+     * @return the call to make, empty if there is nothing to do now
+     */
+    public Optional<StoreCall> tick(long nowMillis) {
+        boolean isDue = nowMillis >= flushAtMillis || (batch.isEmpty() && waiting.size() >= MAX_BATCH);
+        if (isCalling || !isDue) {
+            return Optional.empty();
+        }
+        if (batch.isEmpty()) {
+            takeBatch(nowMillis);
+        }
+        return read();
+    }
+
+    private void takeBatch(long nowMillis) {
+        List<AuditEvent> events = new ArrayList<>();
+        if (dropped > 0) {
+            long wallMillis =
+                    waiting.isEmpty() ? nowMillis : waiting.peekFirst().wallMillis();
+            events.add(new AuditEvent(AuditEvent.Kind.DROPPED, node, wallMillis, node, dropped + " events dropped"));
+            dropped = 0;
+        }
+        while (!waiting.isEmpty() && events.size() < MAX_BATCH) {
+            events.add(waiting.removeFirst());
+        }
+        batch = List.copyOf(events);
+        writer = node + "/" + ++sequence;
+        attemptedNumber = 0;
+        retries = new Retries(random);
+    }
+
+    private Optional<StoreCall> read() {
+        isCalling = true;
+        isSwapping = false;
+        isSettling = false;
+        roll = null;
+        return Optional.of(new StoreCall.Get(key));
+    }
+
+    /**
+     * Takes the reply to the last call.
+     *
+     * @param reply the reply, not null
+     * @param nowMillis the present time in milliseconds
+     * @return the next call, empty if there is nothing to do now
+     */
+    public Optional<StoreCall> onReply(StoreReply reply, long nowMillis) {
+        Arguments.notNull(reply, "reply");
+        if (reply instanceof StoreReply.NoAnswer) {
+            isCalling = false;
+            flushAtMillis = nowMillis + retries.nextDelayMillis();
+            return Optional.empty();
+        }
+        try {
+            return onAnswer(reply, nowMillis);
+        } catch (ServingException e) {
+            // A value that cannot be read is not overwritten; the batch waits until somebody has repaired it.
+            return onReply(new StoreReply.NoAnswer(key), nowMillis);
+        }
+    }
+
+    private Optional<StoreCall> onAnswer(StoreReply reply, long nowMillis) {
+        if (isSwapping) {
+            return reply instanceof StoreReply.Swapped ? written(nowMillis) : read();
+        }
+        if (roll != null) {
+            StoreCall next = roll.onReply(reply);
+            return roll.rest().isPresent() ? swap(roll.rest().get()) : Optional.of(next);
+        }
+        if (isSettling) {
+            return settle(reply instanceof StoreReply.Found found ? decode(found.value()) : Trail.empty(), nowMillis);
+        }
+        head = Trail.empty();
+        headRevision = 0;
+        if (reply instanceof StoreReply.Found found) {
+            head = decode(found.value());
+            headRevision = found.revision();
+        }
+        return settle(head, nowMillis);
+    }
+
+    /** Looks for the batch under the number that it was last written with, if need be in older segments. */
+    private Optional<StoreCall> settle(Trail<EventBatch> trail, long nowMillis) {
+        List<EventBatch> entries = trail.entries();
+        boolean isOurs = entries.stream().anyMatch(entry -> entry.writer().equals(writer));
+        if (isOurs) {
+            return written(nowMillis);
+        }
+        boolean isOlder =
+                attemptedNumber > 0 && !entries.isEmpty() && entries.get(0).number() > attemptedNumber;
+        if (isOlder && !trail.previous().isEmpty()) {
+            isSettling = true;
+            return Optional.of(new StoreCall.Get(trail.previous()));
+        }
+        return append();
+    }
+
+    private Optional<StoreCall> append() {
+        List<EventBatch> entries = head.entries();
+        nextNumber = entries.isEmpty() ? 1 : entries.get(entries.size() - 1).number() + 1;
+        boolean isFull = entries.size() >= limits.maxEntries() || bytes(head.toTree()) > limits.maxBytes();
+        if (!entries.isEmpty() && isFull) {
+            roll = new TrailRoll<>(head, EventBatch.class, key + "/");
+            return Optional.of(roll.write());
+        }
+        return swap(head);
+    }
+
+    private Optional<StoreCall> swap(Trail<EventBatch> trail) {
+        isSwapping = true;
+        attemptedNumber = nextNumber;
+        ObjectNode tree = trail.with(new EventBatch(nextNumber, writer, batch)).toTree();
+        return Optional.of(new StoreCall.CompareAndSwap(key, headRevision, DocumentJson.write(tree)));
+    }
+
+    private Optional<StoreCall> written(long nowMillis) {
+        isCalling = false;
+        isSwapping = false;
+        batch = List.of();
+        flushAtMillis = waiting.isEmpty() ? Long.MAX_VALUE : nowMillis + FLUSH_MILLIS;
+        return Optional.empty();
+    }
+
+    private static int bytes(ObjectNode tree) {
+        return DocumentJson.write(tree).getBytes(StandardCharsets.UTF_8).length;
+    }
+}
--- /dev/null
+++ b/core/src/main/java/io/hornbeamscale/core/audit/HistoryController.java
@@ -0,0 +1,79 @@
+package io.hornbeamscale.core.audit;
+
+import io.hornbeamscale.core.error.ErrorKind;
+import io.hornbeamscale.core.error.ServingException;
+import io.hornbeamscale.core.store.StoreCall;
+import io.hornbeamscale.core.store.StoreReply;
+import io.hornbeamscale.core.util.Arguments;
+import java.util.Optional;
+import java.util.random.RandomGenerator;
+
+/** Reads the document in force, an older version of it, and audit records. */
+public final class HistoryController implements StoreProcess<HistoryResult> {
+    private final long version;
+    private final int count;
+    private final Retries retries;
+    private StoreCall lastCall = new StoreCall.Get(PublishedHead.KEY);
+    private TrailWalk walk;
+
+    /**
+     * Creates a controller for one reading.
+     *
+     * @param version the version of the wanted document, 0 for the one in force
+     * @param count how many audit records are wanted, 0 for none
+     * @param random spreads retries, not null
+     */
+    public HistoryController(long version, int count, RandomGenerator random) {
+        this.version = Arguments.notNegative(version, "version");
+        this.count = (int) Arguments.notNegative(count, "count");
+        this.retries = new Retries(Arguments.notNull(random, "random"));
+    }
+
+    @Override
+    public StoreStep<HistoryResult> start(long nowMillis) {
+        retries.start(nowMillis);
+        return new StoreStep.Call<>(lastCall, 0);
+    }
+
+    @Override
+    public StoreStep<HistoryResult> onReply(StoreReply reply, long nowMillis) {
+        Arguments.notNull(reply, "reply");
+        if (reply instanceof StoreReply.NoAnswer) {
+            if (retries.isOver(nowMillis)) {
+                return failed(ErrorKind.STORE_UNAVAILABLE, "The store does not answer (" + lastCall.key() + ").");
+            }
+            return new StoreStep.Call<>(lastCall, retries.nextDelayMillis());
+        }
+        try {
+            return onAnswer(reply);
+        } catch (ServingException e) {
+            return failed(ErrorKind.INTERNAL, e.getMessage());
+        }
+    }
+
+    private static StoreStep<HistoryResult> failed(ErrorKind kind, String message) {
+        return new StoreStep.Done<>(new HistoryResult.Failed(kind, message));
+    }
+
+    private StoreStep<HistoryResult> onAnswer(StoreReply reply) {
+        if (walk != null) {
+            walk.onReply(reply);
+        } else {
+            PublishedHead head = reply instanceof StoreReply.Found found
+                    ? PublishedHead.decode(found.value())
+                    : PublishedHead.none();
+            long lowest = Math.max(1, head.version() - count + 1);
+            walk = new TrailWalk(head, version == 0 ? lowest : Math.min(lowest, version + 1));
+        }
+        Optional<StoreCall> next = walk.next();
+        if (next.isPresent()) {
+            lastCall = next.get();
+            return new StoreStep.Call<>(lastCall, 0);
+        }
+        PublishedHead head = walk.head();
+        return new StoreStep.Done<>(new HistoryResult.Read(
+                head,
+                walk.records().stream().limit(count).toList(),
+                version == 0 ? Optional.of(head.document()) : walk.documentAt(version)));
+    }
+}
--- /dev/null
+++ b/core/src/main/java/io/hornbeamscale/core/audit/PublishController.java
@@ -0,0 +1,278 @@
+package io.hornbeamscale.core.audit;
+
+import io.hornbeamscale.core.document.ChangeWarning;
+import io.hornbeamscale.core.document.ChangeWarnings;
+import io.hornbeamscale.core.document.Document;
+import io.hornbeamscale.core.document.DocumentDiff;
+import io.hornbeamscale.core.document.DocumentJson;
+import io.hornbeamscale.core.document.DocumentValidator;
+import io.hornbeamscale.core.document.Problem;
+import io.hornbeamscale.core.error.ErrorKind;
+import io.hornbeamscale.core.error.RunOutcome;
+import io.hornbeamscale.core.error.ServingException;
+import io.hornbeamscale.core.store.StoreCall;
+import io.hornbeamscale.core.store.StoreReply;
+import io.hornbeamscale.core.util.Arguments;
+import java.nio.charset.StandardCharsets;
+import java.util.List;
+import java.util.Optional;
+import java.util.random.RandomGenerator;
+
+/**
+ * Publishes one change: reads the head, checks the change, moves older audit records to a segment if the head is full,
+ * and writes version, document, writer id and audit record with one compare-and-swap. A lost reply is settled by
+ * reading back: the audit record of the next version names its writer.
+ */
+public final class PublishController implements StoreProcess<PublishResult> {
+    private enum Phase {
+        READ_HEAD,
+        WALK,
+        ROLL,
+        SWAP
+    }
+
+    private final PublishRequest request;
+    private final TrailLimits limits;
+    private final Retries retries;
+    private Phase phase = Phase.READ_HEAD;
+    private StoreCall lastCall;
+    private TrailWalk walk;
+    private long headRevision;
+    private TrailRoll<AuditRecord> roll;
+    private PublishedHead rolledHead;
+    private Document target;
+    private DocumentDiff diff;
+    private List<ChangeWarning> warnings = List.of();
+    private boolean isSwapSent;
+
+    /**
+     * Creates a controller for one change.
+     *
+     * @param request the change, not null
+     * @param limits when audit records move to segments, not null
+     * @param random spreads retries, not null
+     */
+    public PublishController(PublishRequest request, TrailLimits limits, RandomGenerator random) {
+        this.request = Arguments.notNull(request, "request");
+        this.limits = Arguments.notNull(limits, "limits");
+        this.retries = new Retries(Arguments.notNull(random, "random"));
+    }
+
+    @Override
+    public StoreStep<PublishResult> start(long nowMillis) {
+        retries.start(nowMillis);
+        return readHead(0);
+    }
+
+    @Override
+    public StoreStep<PublishResult> onReply(StoreReply reply, long nowMillis) {
+        Arguments.notNull(reply, "reply");
+        if (reply instanceof StoreReply.NoAnswer) {
+            return onSilence(nowMillis);
+        }
+        try {
+            return switch (phase) {
+                case READ_HEAD -> onHead(reply);
+                case WALK -> onSegment(reply);
+                case ROLL -> onRoll(reply);
+                case SWAP -> onSwap(reply, nowMillis);
+            };
+        } catch (ServingException e) {
+            return done(new PublishResult.Failed(ErrorKind.INTERNAL, outcome(), statement() + e.getMessage()));
+        }
+    }
+
+    private RunOutcome outcome() {
+        return isSwapSent ? RunOutcome.UNKNOWN : RunOutcome.NOT_RUN;
+    }
+
+    private String statement() {
+        return isSwapSent
+                ? "It is not known whether version " + (request.expectedVersion() + 1)
+                        + " was published; the history tells by writer id " + request.writer() + ". "
+                : "Nothing was published. ";
+    }
+
+    private StoreStep<PublishResult> onSilence(long nowMillis) {
+        if (retries.isOver(nowMillis)) {
+            String message = statement() + "The store does not answer (" + lastCall.key() + ").";
+            return done(new PublishResult.Failed(ErrorKind.STORE_UNAVAILABLE, outcome(), message));
+        }
+        if (phase == Phase.SWAP) {
+            return readHead(retries.nextDelayMillis());
+        }
+        if (phase == Phase.ROLL) {
+            return call(roll.onReply(new StoreReply.NoAnswer(lastCall.key())), retries.nextDelayMillis());
+        }
+        return call(lastCall, retries.nextDelayMillis());
+    }
+
+    private StoreStep<PublishResult> readHead(long delayMillis) {
+        phase = Phase.READ_HEAD;
+        return call(new StoreCall.Get(PublishedHead.KEY), delayMillis);
+    }
+
+    private StoreStep<PublishResult> call(StoreCall call, long delayMillis) {
+        lastCall = call;
+        return new StoreStep.Call<>(call, delayMillis);
+    }
+
+    private static StoreStep<PublishResult> done(PublishResult result) {
+        return new StoreStep.Done<>(result);
+    }
+
+    private StoreStep<PublishResult> onHead(StoreReply reply) {
+        PublishedHead head = PublishedHead.none();
+        headRevision = 0;
+        if (reply instanceof StoreReply.Found found) {
+            head = PublishedHead.decode(found.value());
+            headRevision = found.revision();
+        }
+        long lowest = request.expectedVersion() + 1;
+        if (request.rollbackTo() > 0) {
+            lowest = Math.min(lowest, request.rollbackTo() + 1);
+        }
+        walk = new TrailWalk(head, lowest);
+        return continueWalk();
+    }
+
+    private StoreStep<PublishResult> continueWalk() {
+        phase = Phase.WALK;
+        Optional<StoreCall> next = walk.next();
+        return next.isPresent() ? call(next.get(), 0) : decide();
+    }
+
+    private StoreStep<PublishResult> onSegment(StoreReply reply) {
+        walk.onReply(reply);
+        return continueWalk();
+    }
+
+    private StoreStep<PublishResult> decide() {
+        PublishedHead head = walk.head();
+        if (head.version() == request.expectedVersion()) {
+            return target == null ? check(head) : prepare(head);
+        }
+        Optional<AuditRecord> next = walk.record(request.expectedVersion() + 1);
+        if (next.isPresent() && next.get().writer().equals(request.writer())) {
+            return done(new PublishResult.Published(request.expectedVersion() + 1, diff, warnings));
+        }
+        if (isSwapSent && next.isEmpty()) {
+            throw new ServingException(ErrorKind.INTERNAL, "The audit trail does not reach the version.");
+        }
+        return done(conflict(head));
+    }
+
+    private PublishResult conflict(PublishedHead head) {
+        Document base = walk.documentAt(request.expectedVersion()).orElse(head.document());
+        DocumentDiff theirs = DocumentDiff.between(base, head.document());
+        Document wanted = request.document() == null
+                ? walk.documentAt(request.rollbackTo()).orElse(base)
+                : request.document();
+        DocumentDiff mine = DocumentDiff.between(base, wanted);
+        List<AuditRecord> records = walk.records().stream()
+                .filter(record -> record.version() > request.expectedVersion())
+                .toList();
+        return new PublishResult.Conflict(
+                request.expectedVersion(), head.version(), mine, theirs, mine.overlap(theirs), records);
+    }
+
+    private StoreStep<PublishResult> check(PublishedHead head) {
+        Document wanted = request.document();
+        if (wanted == null) {
+            long version = request.rollbackTo();
+            Optional<Document> old = version < head.version() ? walk.documentAt(version) : Optional.empty();
+            if (old.isEmpty()) {
+                String allowed = "a version from 1 to " + (head.version() - 1) + " that the audit trail reaches";
+                return invalid(new Problem("rollback", Long.toString(version), allowed));
+            }
+            wanted = old.get();
+        }
+        List<Problem> problems = DocumentValidator.validate(wanted);
+        if (!problems.isEmpty()) {
+            return done(new PublishResult.Invalid(problems));
+        }
+        diff = DocumentDiff.between(head.document(), wanted);
+        if (diff.isEmpty()) {
+            return done(new PublishResult.Unchanged(head.version()));
+        }
+        warnings = ChangeWarnings.of(diff);
+        if (!warnings.isEmpty() && !request.acceptsWarnings()) {
+            return done(new PublishResult.NeedsAcceptance(diff, warnings));
+        }
+        target = wanted;
+        return prepare(head);
+    }
+
+    private static StoreStep<PublishResult> invalid(Problem problem) {
+        return done(new PublishResult.Invalid(List.of(problem)));
+    }
+
+    private StoreStep<PublishResult> prepare(PublishedHead head) {
+        Trail<AuditRecord> trail = head.trail();
+        int size = trail.entries().size();
+        if (size > 0 && (size >= limits.maxEntries() || bytes(trail.toTree()) > limits.maxBytes())) {
+            return startRoll(head);
+        }
+        return swap(head);
+    }
+
+    private StoreStep<PublishResult> startRoll(PublishedHead head) {
+        phase = Phase.ROLL;
+        rolledHead = head;
+        roll = new TrailRoll<>(head.trail(), AuditRecord.class, PublishedHead.SEGMENT_PREFIX);
+        return call(roll.write(), 0);
+    }
+
+    private StoreStep<PublishResult> onRoll(StoreReply reply) {
+        StoreCall next = roll.onReply(reply);
+        if (roll.rest().isEmpty()) {
+            return call(next, 0);
+        }
+        PublishedHead head = rolledHead;
+        return swap(new PublishedHead(
+                head.version(), head.writer(), head.document(), roll.rest().get()));
+    }
+
+    private StoreStep<PublishResult> swap(PublishedHead head) {
+        AuditRecord record = new AuditRecord(
+                head.version() + 1,
+                request.writer(),
+                request.operator(),
+                request.origin(),
+                request.wallMillis(),
+                request.action(),
+                request.why(),
+                diff.changes().stream().map(RecordedChange::of).toList());
+        String value = head.with(target, record).encode();
+        if (bytes(value) > limits.maxValueBytes()) {
+            value = head.with(target, record.compact()).encode();
+        }
+        if (bytes(value) > limits.maxValueBytes()) {
+            if (phase != Phase.ROLL && !head.trail().entries().isEmpty()) {
+                return startRoll(head);
+            }
+            return invalid(new Problem(
+                    "document",
+                    bytes(value) + " bytes with its audit record",
+                    "at most " + limits.maxValueBytes() + " bytes; publish the change in several steps"));
+        }
+        phase = Phase.SWAP;
+        isSwapSent = true;
+        return call(new StoreCall.CompareAndSwap(PublishedHead.KEY, headRevision, value), 0);
+    }
+
+    private StoreStep<PublishResult> onSwap(StoreReply reply, long nowMillis) {
+        if (reply instanceof StoreReply.Swapped) {
+            return done(new PublishResult.Published(request.expectedVersion() + 1, diff, warnings));
+        }
+        if (retries.isOver(nowMillis)) {
+            return onSilence(nowMillis);
+        }
+        return readHead(0);
+    }
+
+    private static int bytes(Object value) {
+        String text = value instanceof String string ? string : DocumentJson.write(value);
+        return text.getBytes(StandardCharsets.UTF_8).length;
+    }
+}
--- /dev/null
+++ b/core/src/main/java/io/hornbeamscale/core/audit/Retries.java
@@ -0,0 +1,32 @@
+package io.hornbeamscale.core.audit;
+
+import java.util.random.RandomGenerator;
+
+/** Spaces repeated store calls out with rising, spread delays until a deadline. */
+final class Retries {
+    static final long BUDGET_MILLIS = 10_000;
+    private static final long FIRST_DELAY_MILLIS = 50;
+    private static final long MAX_DELAY_MILLIS = 2_000;
+
+    private final RandomGenerator random;
+    private long deadlineMillis;
+    private long delayMillis = FIRST_DELAY_MILLIS;
+
+    Retries(RandomGenerator random) {
+        this.random = random;
+    }
+
+    void start(long nowMillis) {
+        deadlineMillis = nowMillis + BUDGET_MILLIS;
+    }
+
+    boolean isOver(long nowMillis) {
+        return nowMillis >= deadlineMillis;
+    }
+
+    long nextDelayMillis() {
+        long delay = delayMillis / 2 + random.nextLong(delayMillis / 2 + 1);
+        delayMillis = Math.min(MAX_DELAY_MILLIS, delayMillis * 2);
+        return delay;
+    }
+}
--- /dev/null
+++ b/core/src/main/java/io/hornbeamscale/core/audit/StoreProcess.java
@@ -0,0 +1,50 @@
+package io.hornbeamscale.core.audit;
+
+import io.hornbeamscale.core.store.StoreCall;
+import io.hornbeamscale.core.store.StoreReply;
+import java.util.function.Function;
+import java.util.function.LongConsumer;
+import java.util.function.LongSupplier;
+
+/**
+ * A process that makes one store call at a time until it has a result.
+ *
+ * @param <R> the type of the result
+ */
+public interface StoreProcess<R> {
+    /**
+     * Starts the process.
+     *
+     * @param nowMillis the present time in milliseconds
+     * @return the first step, never null
+     */
+    StoreStep<R> start(long nowMillis);
+
+    /**
+     * Takes the reply to the last call.
+     *
+     * @param reply the reply, not null
+     * @param nowMillis the present time in milliseconds
+     * @return the next step, never null
+     */
+    StoreStep<R> onReply(StoreReply reply, long nowMillis);
+
+    /**
+     * Runs the process to its end.
+     *
+     * @param store carries out calls and never throws, not null
+     * @param clock tells the present time in milliseconds, not null
+     * @param sleep waits for a number of milliseconds, not null
+     * @return the result
+     */
+    default R run(Function<StoreCall, StoreReply> store, LongSupplier clock, LongConsumer sleep) {
+        StoreStep<R> step = start(clock.getAsLong());
+        while (step instanceof StoreStep.Call<R> call) {
+            if (call.delayMillis() > 0) {
+                sleep.accept(call.delayMillis());
+            }
+            step = onReply(store.apply(call.call()), clock.getAsLong());
+        }
+        return ((StoreStep.Done<R>) step).result();
+    }
+}
--- /dev/null
+++ b/core/src/main/java/io/hornbeamscale/core/audit/Trail.java
@@ -0,0 +1,116 @@
+package io.hornbeamscale.core.audit;
+
+import com.fasterxml.jackson.databind.JsonNode;
+import com.fasterxml.jackson.databind.node.ArrayNode;
+import com.fasterxml.jackson.databind.node.ObjectNode;
+import io.hornbeamscale.core.document.DocumentJson;
+import io.hornbeamscale.core.error.ErrorKind;
+import io.hornbeamscale.core.error.ServingException;
+import java.util.ArrayList;
+import java.util.HashMap;
+import java.util.List;
+import java.util.Map;
+
+/**
+ * The newest entries of a trail, with a link to the segment that holds the entries before them. A segment is itself a
+ * trail and is never changed.
+ *
+ * @param <T> the type of the entries
+ * @param previous the key of the segment before, empty if there is none
+ * @param entries the entries with rising numbers
+ */
+public record Trail<T extends Numbered>(String previous, List<T> entries) {
+    /** Copies the list. */
+    public Trail {
+        previous = previous == null ? "" : previous;
+        entries = List.copyOf(entries);
+    }
+
+    /**
+     * Returns a trail without entries.
+     *
+     * @param <T> the type of the entries
+     * @return the trail, never null
+     */
+    public static <T extends Numbered> Trail<T> empty() {
+        return new Trail<>("", List.of());
+    }
+
+    /**
+     * Returns the trail with one more entry.
+     *
+     * @param entry the entry, not null
+     * @return a new trail, never null
+     */
+    public Trail<T> with(T entry) {
+        List<T> more = new ArrayList<>(entries);
+        more.add(entry);
+        return new Trail<>(previous, more);
+    }
+
+    /**
+     * Returns the trail without the entries that a segment holds.
+     *
+     * @param key the key of the segment, not null
+     * @param segment the segment, not null
+     * @return a new trail that links to the segment, never null
+     * @throws ServingException with {@link ErrorKind#INTERNAL} if the segment belongs to another trail
+     */
+    Trail<T> after(String key, Trail<T> segment) {
+        Map<Long, String> held = new HashMap<>();
+        segment.entries.forEach(entry -> held.put(entry.number(), entry.writer()));
+        List<T> rest = new ArrayList<>();
+        for (T entry : entries) {
+            String writer = held.get(entry.number());
+            if (writer == null) {
+                rest.add(entry);
+            } else if (!writer.equals(entry.writer())) {
+                throw new ServingException(
+                        ErrorKind.INTERNAL, "segment " + key + " has another entry " + entry.number());
+            }
+        }
+        if (rest.size() == entries.size()) {
+            throw new ServingException(ErrorKind.INTERNAL, "segment " + key + " holds no entry of this trail");
+        }
+        return new Trail<>(key, rest);
+    }
+
+    /**
+     * Returns the key under which the entries are stored as a segment. Writers that race to store the same entries use
+     * the same key, so the segment is written once.
+     *
+     * @param prefix the start of the keys, not null
+     * @return the key, never null
+     */
+    String segmentKey(String prefix) {
+        return prefix + String.format("%010d", entries.get(0).number());
+    }
+
+    /**
+     * Returns the trail as a tree.
+     *
+     * @return a new tree, never null
+     */
+    ObjectNode toTree() {
+        ObjectNode tree = DocumentJson.mapper().createObjectNode();
+        tree.put("previous", previous);
+        ArrayNode list = tree.putArray("entries");
+        entries.forEach(entry -> list.add(DocumentJson.mapper().<JsonNode>valueToTree(entry)));
+        return tree;
+    }
+
+    /**
+     * Reads a trail.
+     *
+     * @param <T> the type of the entries
+     * @param tree the tree, not null
+     * @param type the class of the entries, not null
+     * @return the trail, never null
+     * @throws ServingException with {@link ErrorKind#INVALID_DOCUMENT} if the tree is no trail
+     */
+    static <T extends Numbered> Trail<T> fromTree(JsonNode tree, Class<T> type) {
+        List<T> entries = new ArrayList<>();
+        tree.path("entries").forEach(node -> entries.add(DocumentJson.convert(node, type)));
+        return new Trail<>(tree.path("previous").asText(), entries);
+    }
+}
--- /dev/null
+++ b/core/src/main/java/io/hornbeamscale/core/audit/TrailRoll.java
@@ -0,0 +1,47 @@
+package io.hornbeamscale.core.audit;
+
+import io.hornbeamscale.core.document.DocumentJson;
+import io.hornbeamscale.core.store.StoreCall;
+import io.hornbeamscale.core.store.StoreReply;
+import java.util.Optional;
+
+/**
+ * Stores the entries of a trail as a segment before a writer drops them from the head. The segment is written only if
+ * it is absent; if it exists, another writer stored the same entries, perhaps fewer of them, and only these are
+ * dropped. So an entry leaves the head only after it was read back from, or surely written to, a segment.
+ *
+ * @param <T> the type of the entries
+ */
+final class TrailRoll<T extends Numbered> {
+    private final Trail<T> trail;
+    private final Class<T> type;
+    private final String key;
+    private Trail<T> rest;
+
+    TrailRoll(Trail<T> trail, Class<T> type, String prefix) {
+        this.trail = trail;
+        this.type = type;
+        this.key = trail.segmentKey(prefix);
+    }
+
+    StoreCall write() {
+        return new StoreCall.CompareAndSwap(key, 0, DocumentJson.write(trail.toTree()));
+    }
+
+    /** Returns the trail without the stored entries, empty until this is known. */
+    Optional<Trail<T>> rest() {
+        return Optional.ofNullable(rest);
+    }
+
+    /** Takes a reply and returns the next call; it is not used once {@link #rest()} is known. */
+    StoreCall onReply(StoreReply reply) {
+        if (reply instanceof StoreReply.Swapped) {
+            rest = trail.after(key, trail);
+        } else if (reply instanceof StoreReply.Found found) {
+            rest = trail.after(key, Trail.fromTree(DocumentJson.parse(found.value()), type));
+        } else if (reply instanceof StoreReply.Missing) {
+            return write();
+        }
+        return new StoreCall.Get(key);
+    }
+}
--- a/core/src/main/java/io/hornbeamscale/core/document/DocumentValidator.java
+++ b/core/src/main/java/io/hornbeamscale/core/document/DocumentValidator.java
@@ -13,9 +13,9 @@
 public final class DocumentValidator {
     /**
      * The greatest size of a canonical text in bytes of UTF-8. The store's values hold 1 MB: the document, the earlier
-     * states of everything that one change replaces (at most as much again), and the recent audit records.
+     * states of everything that one change replaces (at most as much again), and the names of what it adds.
      */
-    public static final int MAX_DOCUMENT_BYTES = 460_000;
+    public static final int MAX_DOCUMENT_BYTES = 400_000;
 
     private final Document document;
     private final List<Problem> problems = new ArrayList<>();
--- /dev/null
+++ b/core/src/test/java/io/hornbeamscale/core/audit/SimulatedStore.java
@@ -0,0 +1,59 @@
+package io.hornbeamscale.core.audit;
+
+import io.hornbeamscale.core.store.StoreCall;
+import io.hornbeamscale.core.store.StoreReply;
+import java.nio.charset.StandardCharsets;
+import java.util.ArrayList;
+import java.util.HashMap;
+import java.util.List;
+import java.util.Map;
+
+/** A store in memory that remembers every value of the document's key and refuses values above its size. */
+final class SimulatedStore {
+    private record Slot(long revision, String value) {}
+
+    private final int maxValueBytes;
+    private final Map<String, Slot> slots = new HashMap<>();
+    private final List<PublishedHead> heads = new ArrayList<>();
+    private int calls;
+
+    SimulatedStore(int maxValueBytes) {
+        this.maxValueBytes = maxValueBytes;
+    }
+
+    StoreReply apply(StoreCall call) {
+        calls++;
+        Slot slot = slots.get(call.key());
+        if (call instanceof StoreCall.Get) {
+            return slot == null
+                    ? new StoreReply.Missing(call.key())
+                    : new StoreReply.Found(call.key(), slot.revision(), slot.value());
+        }
+        StoreCall.CompareAndSwap swap = (StoreCall.CompareAndSwap) call;
+        long revision = slot == null ? 0 : slot.revision();
+        if (swap.value().getBytes(StandardCharsets.UTF_8).length > maxValueBytes) {
+            throw new AssertionError(swap.key() + " exceeds " + maxValueBytes + " bytes");
+        }
+        if (revision != swap.expectedRevision()) {
+            return new StoreReply.Conflict(swap.key(), revision);
+        }
+        slots.put(swap.key(), new Slot(revision + 1, swap.value()));
+        if (swap.key().equals(PublishedHead.KEY)) {
+            heads.add(PublishedHead.decode(swap.value()));
+        }
+        return new StoreReply.Swapped(swap.key(), revision + 1);
+    }
+
+    List<PublishedHead> heads() {
+        return heads;
+    }
+
+    String value(String key) {
+        Slot slot = slots.get(key);
+        return slot == null ? null : slot.value();
+    }
+
+    int calls() {
+        return calls;
+    }
+}
--- a/core/src/test/java/io/hornbeamscale/core/document/DocumentSchemaTest.java
+++ b/core/src/test/java/io/hornbeamscale/core/document/DocumentSchemaTest.java
@@ -110,8 +110,8 @@
                 running work.
 
                 Names of services, customers, work kinds, backend servers, regions and availability zones have 1 to 63
-                lower-case letters, digits and inner hyphens. A stored document has at most 460000 bytes.
-                """);
+                lower-case letters, digits and inner hyphens. A stored document has at most %d bytes.
+                """.formatted(DocumentValidator.MAX_DOCUMENT_BYTES));
         for (EntityKind kind : EntityKind.values()) {
             page.append("\n## ").append(kind.section()).append("\n\nA list of entries of the kind ");
             page.append(kind.title()).append(".\n");
