--- /dev/null
+++ b/console/src/main/java/io/hornbeamscale/console/StoreClient.java
@@ -0,0 +1,61 @@
+package io.hornbeamscale.console;
+
+import io.hornbeamscale.core.audit.StoreProcess;
+import io.hornbeamscale.core.store.StoreCall;
+import io.hornbeamscale.core.store.StoreReply;
+import io.hornbeamscale.core.util.Arguments;
+import io.hornbeamscale.platform.KeyValueStore;
+import java.util.concurrent.ExecutionException;
+import java.util.concurrent.TimeUnit;
+import java.util.concurrent.TimeoutException;
+import org.apache.logging.log4j.LogManager;
+import org.apache.logging.log4j.Logger;
+
+/** Runs processes that talk to the store on the calling thread. Not for I/O threads, since it waits for replies. */
+public final class StoreClient {
+    private static final Logger LOG = LogManager.getLogger(StoreClient.class);
+
+    // The store client gives up earlier; this limit only guards against a client that never completes.
+    private static final long MAX_WAIT_MILLIS = 15_000;
+
+    private final KeyValueStore store;
+
+    /**
+     * Creates a client.
+     *
+     * @param store the store, not null
+     */
+    public StoreClient(KeyValueStore store) {
+        this.store = Arguments.notNull(store, "store");
+    }
+
+    /**
+     * Runs a process to its end.
+     *
+     * @param <R> the type of the result
+     * @param process the process, not null
+     * @return the result
+     */
+    public <R> R run(StoreProcess<R> process) {
+        return process.run(this::call, () -> TimeUnit.NANOSECONDS.toMillis(System.nanoTime()), StoreClient::sleep);
+    }
+
+    private StoreReply call(StoreCall call) {
+        try {
+            return store.execute(call).toCompletableFuture().get(MAX_WAIT_MILLIS, TimeUnit.MILLISECONDS);
+        } catch (InterruptedException e) {
+            Thread.currentThread().interrupt();
+        } catch (ExecutionException | TimeoutException e) {
+            LOG.warn("[store] call for {} failed: {}", call.key(), e.toString());
+        }
+        return new StoreReply.NoAnswer(call.key());
+    }
+
+    private static void sleep(long millis) {
+        try {
+            Thread.sleep(millis);
+        } catch (InterruptedException e) {
+            Thread.currentThread().interrupt();
+        }
+    }
+}
--- a/core/src/main/java/io/hornbeamscale/core/audit/PublishController.java
+++ b/core/src/main/java/io/hornbeamscale/core/audit/PublishController.java
@@ -24,6 +24,9 @@
  * reading back: the audit record of the next version names its writer.
  */
 public final class PublishController implements StoreProcess<PublishResult> {
+    // A read may return an older value; a version below the expected one is read again before it is believed.
+    private static final int MAX_STALE_READS = 4;
+
     private enum Phase {
         READ_HEAD,
         WALK,
@@ -44,6 +47,7 @@
     private DocumentDiff diff;
     private List<ChangeWarning> warnings = List.of();
     private boolean isSwapSent;
+    private int staleReads;
 
     /**
      * Creates a controller for one change.
@@ -128,6 +132,9 @@
             head = PublishedHead.decode(found.value());
             headRevision = found.revision();
         }
+        if (head.version() < request.expectedVersion() && staleReads++ < MAX_STALE_READS) {
+            return readHead(retries.nextDelayMillis());
+        }
         long lowest = request.expectedVersion() + 1;
         if (request.rollbackTo() > 0) {
             lowest = Math.min(lowest, request.rollbackTo() + 1);
--- a/core/src/test/java/io/hornbeamscale/core/audit/PublishRaceTest.java
+++ b/core/src/test/java/io/hornbeamscale/core/audit/PublishRaceTest.java
@@ -22,7 +22,8 @@
 
 /**
  * Guards against a lost update, a change without its audit record and a version that does not rise, when operators race
- * while the store loses replies, delays writes and is down.
+ * while the store loses replies, delays
+ * writes, returns older values and is down.
  */
 class PublishRaceTest {
     private static final int SEEDS = 10_000;
@@ -157,6 +158,8 @@
             } else if (luck == 2) {
                 late.add(call);
                 operator.onReply(lost);
+            } else if (luck == 3 && call instanceof StoreCall.Get) {
+                operator.onReply(store.older(call, 1 + random.nextInt(2)));
             } else {
                 operator.onReply(store.apply(call));
             }
--- a/core/src/test/java/io/hornbeamscale/core/audit/SimulatedStore.java
+++ b/core/src/test/java/io/hornbeamscale/core/audit/SimulatedStore.java
@@ -44,6 +44,15 @@
         return new StoreReply.Swapped(swap.key(), revision + 1);
     }
 
+    /** Reads the document's key as it was some writes ago. */
+    StoreReply older(StoreCall call, int writes) {
+        int revision = heads.size() - writes;
+        return revision <= 0 || !call.key().equals(PublishedHead.KEY)
+                ? apply(call)
+                : new StoreReply.Found(
+                        call.key(), revision, heads.get(revision - 1).encode());
+    }
+
     List<PublishedHead> heads() {
         return heads;
     }
