Choose backend servers by cost, set stragglers aside, refuse early

Change: cost of wait, load, zone, region and prefix over a random sample; straggler detection from token gaps with a cap and probation; second attempts; look again while waiting; early refusal by the agent's expected wait.

--- a/core/src/main/java/io/hornbeamscale/core/dispatch/BackendState.java
+++ b/core/src/main/java/io/hornbeamscale/core/dispatch/BackendState.java
@@ -6,18 +6,32 @@
 
 /** What one entry knows about one backend server. */
 final class BackendState {
+    /** Whether a server takes new work, judged by its speed. */
+    enum Speed {
+        NORMAL,
+        SET_ASIDE,
+        PROBATION
+    }
+
     final BackendId backend;
+    final PrefixHistory prefixes = new PrefixHistory();
     /** Null until the watched servers are named. */
     BackendPlace place;
     /** Null until the first status arrives. */
     BackendStatus status;
 
     long statusMillis;
-    long pausedUntilMillis;
     boolean isDraining;
     boolean isConnected;
     /** Reservations and attempts of this entry that the last status does not contain yet. */
     int sinceStatus;
+    /** Prompt tokens of these reservations. */
+    long tokensSinceStatus;
+
+    Speed speed = Speed.NORMAL;
+    int slowReports;
+    long speedSinceMillis;
+    long probationMillis;
 
     BackendState(BackendId backend) {
         this.backend = backend;
@@ -31,6 +45,7 @@
         statusMillis = nowMillis;
         isConnected = true;
         sinceStatus = 0;
+        tokensSinceStatus = 0;
     }
 
     void lost() {
@@ -39,11 +54,21 @@
         isDraining = false;
     }
 
+    void reserved(WorkItem work, long nowMillis) {
+        sinceStatus++;
+        tokensSinceStatus += work.promptTokens();
+        prefixes.sent(work.prefixHashes(), nowMillis);
+    }
+
     boolean serves(WorkItem work) {
         return place == null || place.serves(work);
     }
 
-    boolean isUsable(long nowMillis) {
-        return isConnected && !isDraining && nowMillis >= pausedUntilMillis;
+    boolean isUsable() {
+        return isConnected && !isDraining;
+    }
+
+    double gapMillis() {
+        return status == null ? 0 : status.tokenGapMillis();
     }
 }
--- a/core/src/main/java/io/hornbeamscale/core/dispatch/BackendTable.java
+++ b/core/src/main/java/io/hornbeamscale/core/dispatch/BackendTable.java
@@ -1,6 +1,7 @@
 package io.hornbeamscale.core.dispatch;
 
 import io.hornbeamscale.core.id.BackendId;
+import io.hornbeamscale.core.id.RegionId;
 import io.hornbeamscale.core.work.BackendStatus;
 import io.hornbeamscale.core.work.WorkItem;
 import java.util.ArrayList;
@@ -14,8 +15,15 @@
 final class BackendTable {
     private final Map<BackendId, BackendState> byId = new HashMap<>();
     private final List<BackendState> all = new ArrayList<>();
+    private final List<BackendState> near = new ArrayList<>();
+    private final List<BackendState> far = new ArrayList<>();
+    private final RegionId region;
     private boolean isPlaced;
 
+    BackendTable(RegionId region) {
+        this.region = region;
+    }
+
     void watch(List<BackendPlace> places) {
         isPlaced = true;
         Set<BackendId> kept = new HashSet<>();
@@ -27,8 +35,13 @@
             }
             s.place = p;
         }
-        all.removeIf(s -> !kept.contains(s.backend));
+        all.removeIf(s -> s.place == null || !kept.contains(s.backend));
         byId.keySet().retainAll(kept);
+        near.clear();
+        far.clear();
+        for (BackendState s : all) {
+            (s.place.region().equals(region) ? near : far).add(s);
+        }
     }
 
     void status(BackendStatus status, long nowMillis) {
@@ -38,6 +51,7 @@
                 return;
             }
             s = add(status.backend());
+            near.add(s);
         }
         s.update(status, nowMillis);
     }
@@ -53,12 +67,14 @@
         return byId.get(backend);
     }
 
-    int size() {
-        return all.size();
+    /** Returns the servers of the entry's own region, never null. */
+    List<BackendState> near() {
+        return near;
     }
 
-    BackendState at(int index) {
-        return all.get(index);
+    /** Returns the servers of other regions, never null. */
+    List<BackendState> far() {
+        return far;
     }
 
     List<BackendState> all() {
--- /dev/null
+++ b/core/src/main/java/io/hornbeamscale/core/dispatch/PrefixHistory.java
@@ -0,0 +1,38 @@
+package io.hornbeamscale.core.dispatch;
+
+import java.util.LinkedHashMap;
+import java.util.List;
+import java.util.Map;
+import java.util.Set;
+
+/** The prefixes that this entry has lately sent to one backend server. */
+final class PrefixHistory {
+    private static final int MAX = 256;
+    /** The time after which a prefix has likely left the cache unless a cache event says otherwise. */
+    private static final long KEEP_MILLIS = 60_000;
+
+    private final Map<Long, Long> sentMillis = new LinkedHashMap<>(16, 0.75f, true) {
+        private static final long serialVersionUID = 1L;
+
+        @Override
+        protected boolean removeEldestEntry(Map.Entry<Long, Long> eldest) {
+            return size() > MAX;
+        }
+    };
+
+    void sent(List<Long> hashes, long nowMillis) {
+        hashes.forEach(h -> sentMillis.put(h, nowMillis));
+    }
+
+    /** Returns the share of the prompt's prefixes that the server likely holds, from 0 to 1. */
+    double match(List<Long> hashes, Set<Long> reported, long nowMillis) {
+        for (int i = hashes.size() - 1; i >= 0; i--) {
+            Long hash = hashes.get(i);
+            Long sent = sentMillis.get(hash);
+            if (reported.contains(hash) || (sent != null && nowMillis - sent < KEEP_MILLIS)) {
+                return (i + 1.0) / hashes.size();
+            }
+        }
+        return 0;
+    }
+}
--- a/core/src/main/java/io/hornbeamscale/core/dispatch/RequestState.java
+++ b/core/src/main/java/io/hornbeamscale/core/dispatch/RequestState.java
@@ -27,6 +27,9 @@
     long waitingSince;
     long deadlineMillis;
     long retryAtMillis;
+    long lookAgainMillis;
+    int refusals;
+    long adviceMillis;
     boolean isDelivering;
     boolean isSecond;
 
--- a/core/src/main/java/io/hornbeamscale/core/dispatch/ReservationDispatcher.java
+++ b/core/src/main/java/io/hornbeamscale/core/dispatch/ReservationDispatcher.java
@@ -22,10 +22,18 @@
  */
 public final class ReservationDispatcher implements Dispatcher {
     private static final int RESERVATIONS = 2;
+    /** Reservations of a request that still waits after others have become free. */
+    private static final int MAX_RESERVATIONS = 4;
+    /** The wait after which a request looks for a server that has become free. */
+    private static final long LOOK_AGAIN_MILLIS = 200;
+    /** Refusals for lack of capacity after which the caller is told at once. */
+    private static final int MAX_REFUSALS = 4;
 
     private final DispatcherConfig config;
     private final RandomGenerator random;
-    private final BackendTable table = new BackendTable();
+    private final BackendTable table;
+    private final StragglerDetector stragglers = new StragglerDetector();
+    private final FirstTokenTimes firstTokens = new FirstTokenTimes();
     private final BackendChooser chooser;
     private final RetryBudget retries;
     private final Map<RequestId, RequestState> requests = new LinkedHashMap<>();
@@ -40,7 +48,8 @@
     public ReservationDispatcher(DispatcherConfig config, RandomGenerator random) {
         this.config = Arguments.notNull(config, "config");
         this.random = Arguments.notNull(random, "random");
-        this.chooser = new BackendChooser(table, random);
+        this.table = new BackendTable(config.region());
+        this.chooser = new BackendChooser(config, table, random);
         this.retries = new RetryBudget(config.retryPercent());
     }
 
@@ -100,18 +109,22 @@
     }
 
     private void reserve(RequestState s, long nowMillis, List<DispatchAction> out) {
-        int missing = RESERVATIONS - s.reserved.size();
+        reserve(s, RESERVATIONS - s.reserved.size(), nowMillis, out);
+        if (s.reserved.isEmpty()) {
+            s.retryAtMillis = nowMillis + spread(config.pauseMillis());
+        }
+    }
+
+    private void reserve(RequestState s, int missing, long nowMillis, List<DispatchAction> out) {
+        s.lookAgainMillis = nowMillis + LOOK_AGAIN_MILLIS;
         if (missing <= 0) {
             return;
         }
-        for (BackendState b : chooser.choose(s, missing, nowMillis)) {
+        for (BackendState b : chooser.choose(s, missing, true, nowMillis)) {
             s.reserved.add(b.backend);
-            b.sinceStatus++;
+            b.reserved(s.work, nowMillis);
             out.add(new DispatchAction.SendReserve(b.backend, s.reserving, s.work));
         }
-        if (s.reserved.isEmpty()) {
-            s.retryAtMillis = nowMillis + spread(config.pauseMillis());
-        }
     }
 
     @Override
@@ -161,11 +174,21 @@
     public List<DispatchAction> refused(
             BackendId backend, AttemptId attempt, ErrorKind kind, long retryAfterMillis, long nowMillis) {
         List<DispatchAction> out = new ArrayList<>();
-        noteRefusal(backend, kind, retryAfterMillis, nowMillis);
+        BackendState b = table.get(backend);
+        if (b != null && kind == ErrorKind.DRAINING) {
+            b.isDraining = true;
+        }
         RequestState s = reservingState(attempt);
         if (s != null && s.reserved.remove(backend)) {
             s.avoided.add(backend);
-            reserve(s, nowMillis, out);
+            if (kind == ErrorKind.OVERLOADED) {
+                s.refusals++;
+                s.adviceMillis = Math.max(s.adviceMillis, retryAfterMillis);
+            }
+            if (s.refusals < MAX_REFUSALS) {
+                reserve(s, nowMillis, out);
+            }
+            refuseIfFull(s, out);
             return out;
         }
         if (!isRunningAt(attempt, backend)) {
@@ -190,15 +213,14 @@
         return out;
     }
 
-    private void noteRefusal(BackendId backend, ErrorKind kind, long retryAfterMillis, long nowMillis) {
-        BackendState b = table.get(backend);
-        if (b == null) {
-            return;
-        }
-        if (kind == ErrorKind.DRAINING) {
-            b.isDraining = true;
-        } else if (kind == ErrorKind.OVERLOADED) {
-            b.pausedUntilMillis = nowMillis + Math.max(retryAfterMillis, config.pauseMillis());
+    /** Tells the caller early if every server that was asked expects the wait to exceed the deadline. */
+    private void refuseIfFull(RequestState s, List<DispatchAction> out) {
+        boolean isAskedEnough = s.refusals >= RESERVATIONS && s.reserved.isEmpty();
+        if (isAskedEnough && s.running.isEmpty()) {
+            finish(s, out);
+            long pause = spread(Math.max(config.retryAfterMillis(), s.adviceMillis));
+            RunOutcome outcome = s.handOvers == 0 ? RunOutcome.NOT_RUN : RunOutcome.UNKNOWN;
+            out.add(new DispatchAction.RejectCaller(s.work.request(), ErrorKind.OVERLOADED, outcome, pause));
         }
     }
 
@@ -208,6 +230,7 @@
         RequestState s = runningState(attempt);
         if (s != null && !s.isDelivering) {
             s.isDelivering = true;
+            firstTokens.add(nowMillis - s.running.get(attempt).startedMillis);
             cancelOthers(s, attempt, out);
         }
         return out;
@@ -313,20 +336,59 @@
     @Override
     public List<DispatchAction> tick(long nowMillis) {
         List<DispatchAction> out = new ArrayList<>();
+        stragglers.check(table.all(), nowMillis);
         for (RequestState s : List.copyOf(requests.values())) {
             if (s.reserving == null) {
-                continue;
-            }
-            if (nowMillis >= s.deadlineMillis) {
+                considerSecond(s, nowMillis, out);
+            } else if (nowMillis >= s.deadlineMillis) {
                 expire(s, out);
             } else if (s.reserved.isEmpty() && nowMillis >= s.retryAtMillis) {
                 s.avoided.clear();
                 reserve(s, nowMillis, out);
+            } else if (nowMillis >= s.lookAgainMillis) {
+                lookAgain(s, nowMillis, out);
             }
         }
         return out;
     }
 
+    /** Adds a reservation at a server that has become free since the request began to wait. */
+    private void lookAgain(RequestState s, long nowMillis, List<DispatchAction> out) {
+        s.lookAgainMillis = nowMillis + LOOK_AGAIN_MILLIS;
+        if (s.reserved.size() >= MAX_RESERVATIONS) {
+            return;
+        }
+        double least = Double.MAX_VALUE;
+        for (BackendId id : s.reserved) {
+            BackendState b = table.get(id);
+            least = b == null ? least : Math.min(least, chooser.cost(b, s, nowMillis));
+        }
+        for (BackendState b : chooser.choose(s, 1, true, nowMillis)) {
+            if (chooser.cost(b, s, nowMillis) < least / 2) {
+                s.reserved.add(b.backend);
+                b.reserved(s.work, nowMillis);
+                out.add(new DispatchAction.SendReserve(b.backend, s.reserving, s.work));
+            }
+        }
+    }
+
+    /** Runs repeatable work a second time elsewhere if it has emitted nothing for unusually long. */
+    private void considerSecond(RequestState s, long nowMillis, List<DispatchAction> out) {
+        if (s.isDelivering || s.isSecond || !s.work.isRepeatable() || s.running.size() != 1) {
+            return;
+        }
+        RequestState.HandedOver h = s.running.values().iterator().next();
+        BackendState b = table.get(h.backend);
+        boolean isSlow = b != null && b.speed == BackendState.Speed.SET_ASIDE;
+        if (nowMillis - h.startedMillis < firstTokens.patienceMillis(isSlow) || !retries.tryRetry()) {
+            return;
+        }
+        s.isSecond = true;
+        s.deadlineMillis = Math.max(s.work.deadlineMillis(), nowMillis + config.rerunWaitMillis());
+        beginReserving(s);
+        reserve(s, nowMillis, out);
+    }
+
     private void expire(RequestState s, List<DispatchAction> out) {
         dropReservations(s, out);
         if (s.running.isEmpty()) {
--- /dev/null
+++ b/core/src/main/java/io/hornbeamscale/core/dispatch/StragglerDetector.java
@@ -0,0 +1,94 @@
+package io.hornbeamscale.core.dispatch;
+
+import java.util.ArrayList;
+import java.util.Arrays;
+import java.util.HashMap;
+import java.util.List;
+import java.util.Map;
+
+/**
+ * Compares the token gap of each backend server with the median of its siblings. A slow server is set aside, then on
+ * probation, then normal again; probation grows with each relapse. At most a share of the siblings is set aside, since
+ * the rest must carry the load.
+ */
+final class StragglerDetector {
+    private static final double SLOW_FACTOR = 2;
+    private static final double NORMAL_FACTOR = 1.5;
+    private static final int SLOW_REPORTS = 2;
+    private static final int MIN_SIBLINGS = 3;
+    private static final double MAX_SHARE = 0.3;
+    private static final long PERIOD_MILLIS = 100;
+    private static final long SET_ASIDE_MILLIS = 2_000;
+    private static final long FIRST_PROBATION_MILLIS = 5_000;
+    private static final long MAX_PROBATION_MILLIS = 60_000;
+
+    private long checkedMillis = -PERIOD_MILLIS;
+
+    void check(List<BackendState> all, long nowMillis) {
+        if (nowMillis - checkedMillis < PERIOD_MILLIS) {
+            return;
+        }
+        checkedMillis = nowMillis;
+        Map<String, List<BackendState>> groups = new HashMap<>();
+        for (BackendState b : all) {
+            if (b.isUsable() && b.status != null) {
+                String key = b.place == null ? "" : b.place.service().value() + "/" + b.place.model();
+                groups.computeIfAbsent(key, k -> new ArrayList<>()).add(b);
+            }
+        }
+        groups.values().forEach(g -> judge(g, nowMillis));
+    }
+
+    private static void judge(List<BackendState> group, long nowMillis) {
+        double median = median(group);
+        int room = (int) (group.size() * MAX_SHARE);
+        for (BackendState b : group) {
+            room -= b.speed == BackendState.Speed.SET_ASIDE ? 1 : 0;
+        }
+        for (BackendState b : group) {
+            double gap = b.gapMillis();
+            boolean isSlow = median > 0 && gap > SLOW_FACTOR * median;
+            b.slowReports = isSlow ? b.slowReports + 1 : 0;
+            if (b.speed == BackendState.Speed.SET_ASIDE) {
+                release(b, gap <= NORMAL_FACTOR * median, isSlow, nowMillis);
+            } else if (b.slowReports >= SLOW_REPORTS && room > 0) {
+                room--;
+                setAside(b, nowMillis);
+            } else if (b.speed == BackendState.Speed.PROBATION && nowMillis - b.speedSinceMillis > b.probationMillis) {
+                move(b, BackendState.Speed.NORMAL, nowMillis);
+            }
+        }
+    }
+
+    private static void setAside(BackendState b, long nowMillis) {
+        boolean isRelapse = b.probationMillis > 0 && nowMillis - b.speedSinceMillis < MAX_PROBATION_MILLIS;
+        b.probationMillis = isRelapse ? Math.min(MAX_PROBATION_MILLIS, 2 * b.probationMillis) : FIRST_PROBATION_MILLIS;
+        move(b, BackendState.Speed.SET_ASIDE, nowMillis);
+    }
+
+    private static void release(BackendState b, boolean isNormal, boolean isSlow, long nowMillis) {
+        if (isSlow) {
+            b.speedSinceMillis = nowMillis;
+        } else if (isNormal && nowMillis - b.speedSinceMillis > SET_ASIDE_MILLIS) {
+            move(b, BackendState.Speed.PROBATION, nowMillis);
+        }
+    }
+
+    private static void move(BackendState b, BackendState.Speed next, long nowMillis) {
+        b.speed = next;
+        b.speedSinceMillis = nowMillis;
+    }
+
+    private static double median(List<BackendState> group) {
+        double[] gaps = group.stream()
+                .mapToDouble(BackendState::gapMillis)
+                .filter(g -> g > 0)
+                .sorted()
+                .toArray();
+        if (gaps.length < MIN_SIBLINGS) {
+            return 0;
+        }
+        Arrays.sort(gaps);
+        return gaps[(gaps.length - 1) / 2];
+    }
+}
--- a/core/src/main/java/io/hornbeamscale/core/schedule/MemoryScheduler.java
+++ b/core/src/main/java/io/hornbeamscale/core/schedule/MemoryScheduler.java
@@ -23,6 +23,7 @@
  */
 public final class MemoryScheduler implements EngineScheduler {
     private static final long RETRY_MILLIS = 250;
+    private static final long MAX_RETRY_MILLIS = 30_000;
     /** Work is long if its expected output exceeds the mean of the service by this factor. */
     private static final double LONG_FACTOR = 1.5;
     /** The age at which long work goes before short work of the same priority. */
@@ -80,6 +81,11 @@
             return List.of(refuse(reservation, ErrorKind.OVERLOADED, RETRY_MILLIS));
         }
         QueuedWork q = queued(reservation);
+        long pastDeadline =
+                waitMillis(waiting.tokensAhead(q)) - (reservation.work().deadlineMillis() - nowMillis);
+        if (pastDeadline > 0) {
+            return List.of(refuse(reservation, ErrorKind.OVERLOADED, Math.min(MAX_RETRY_MILLIS, pastDeadline)));
+        }
         waiting.add(q);
         waitingShortTokens += q.isLong ? 0 : q.tokens();
         return grant(nowMillis);
@@ -285,19 +291,19 @@
                 memory.usedTokens(),
                 memory.size(),
                 waiting.size(),
-                expectedWait(),
+                waitMillis(waiting.tokens()),
                 gaps.gapMillis(memory.size(), nowMillis),
                 isDraining,
                 prefixes.hashes());
     }
 
     /** Half of the waiting work counts, as each request waits at two agents. */
-    private long expectedWait() {
-        if (waiting.size() == 0) {
+    private long waitMillis(double tokens) {
+        if (tokens <= 0 || config.capacityTokens() == 0) {
             return 0;
         }
         double rate = Math.max(0.1, gaps.tokensPerMilli());
-        return (long) Math.min(600_000, waiting.tokens() / 2 / rate);
+        return (long) Math.min(600_000, tokens / 2 / rate);
     }
 
     /**
--- a/core/src/main/java/io/hornbeamscale/core/schedule/WaitQueue.java
+++ b/core/src/main/java/io/hornbeamscale/core/schedule/WaitQueue.java
@@ -80,6 +80,32 @@
         return heads;
     }
 
+    /**
+     * Returns the expected output of what goes before a reservation: higher lanes, and of its own lane what its
+     * customer has to wait for if the lane is shared fairly.
+     */
+    double tokensAhead(QueuedWork q) {
+        double ahead = 0;
+        Lane own = Lane.of(q);
+        for (Map.Entry<Lane, Map<CustomerId, TreeSet<QueuedWork>>> e : lanes.entrySet()) {
+            int order = e.getKey().compareTo(own);
+            if (order > 0) {
+                break;
+            }
+            double all = 0;
+            double mine = 0;
+            for (Map.Entry<CustomerId, TreeSet<QueuedWork>> c : e.getValue().entrySet()) {
+                double sum = c.getValue().size() * c.getValue().first().expectedTokens;
+                all += sum;
+                mine += c.getKey().equals(customer(q)) ? sum : 0;
+            }
+            boolean isWaiting = e.getValue().containsKey(customer(q));
+            int sharing = e.getValue().size() + (isWaiting ? 0 : 1);
+            ahead += order < 0 ? all : Math.min(all, mine * sharing);
+        }
+        return ahead;
+    }
+
     boolean contains(AttemptId attempt) {
         return byAttempt.containsKey(attempt);
     }
--- a/measure/src/main/java/io/hornbeamscale/measure/sim/Trace.java
+++ b/measure/src/main/java/io/hornbeamscale/measure/sim/Trace.java
@@ -35,8 +35,9 @@
     private void generate() {
         double capacity = scenario.capacity() * scenario.runners().size();
         double rate = scenario.load() * capacity / offeredMean();
+        double[] gusts = gusts();
         for (int second = 0; second < scenario.seconds(); second++) {
-            double factor = scenario.isCrest(second) ? 4 : gust();
+            double factor = scenario.isCrest(second) ? 4 : gusts[second];
             arrivals(second, rate * factor, -1);
             if (scenario.flood() > 0 && second >= Scenario.WARM_UP_SECONDS) {
                 arrivals(second, scenario.flood() * capacity / scenario.meanOutput(), 0);
@@ -67,7 +68,21 @@
         }
     }
 
-    /** Varies from second to second, and over about ten seconds, with mean 1. */
+    /** Factors with mean 1 over the run, so that each seed offers the stated load. */
+    private double[] gusts() {
+        double[] gusts = new double[scenario.seconds()];
+        double sum = 0;
+        for (int i = 0; i < gusts.length; i++) {
+            gusts[i] = gust();
+            sum += gusts[i];
+        }
+        for (int i = 0; i < gusts.length; i++) {
+            gusts[i] *= gusts.length / sum;
+        }
+        return gusts;
+    }
+
+    /** Varies from second to second, and over about ten seconds. */
     private double gust() {
         double keep = 0.9;
         swell = keep * swell + Math.sqrt(1 - keep * keep) * random.nextGaussian();
