Add the request path: messages, entry, agent and daemons

Cause: nothing connected callers to backend servers yet.

Change: module wire has one record for each message, a MessagePack codec that skips unknown fields and ignores unknown types, and a frame loop with bounded send queues. EntryController and AgentController compose dispatcher, scheduler, stream assembly, retention and attempt ledger. The daemons serve POST /v1/completions and /v1/services/{service}/... over HTTP and call the backend server with Undertow's client.

Measured: before, no request could be made. After, PathTest (3 tests) receives all tokens of a streamed and a whole response and the answer to a plain call through entry, agent and the stand-ins over loopback sockets.

--- /dev/null
+++ b/core/src/main/java/io/hornbeamscale/core/agent/package-info.java
@@ -0,0 +1,2 @@
+/** Composes the decisions of an agent. */
+package io.hornbeamscale.core.agent;
--- /dev/null
+++ b/core/src/main/java/io/hornbeamscale/core/entry/EntryRequest.java
@@ -0,0 +1,23 @@
+package io.hornbeamscale.core.entry;
+
+import io.hornbeamscale.core.util.Arguments;
+import io.hornbeamscale.core.work.Call;
+import io.hornbeamscale.core.work.WorkItem;
+
+/**
+ * A request of a caller.
+ *
+ * @param work what the scheduler needs to know, not null
+ * @param call the call to hand over, not null
+ * @param isStreaming whether the caller wants tokens as they arrive
+ * @param mayRestart whether the caller accepts a new generation after tokens of another one
+ * @param idempotencyKey the caller's idempotency key, empty if it sent none
+ */
+public record EntryRequest(WorkItem work, Call call, boolean isStreaming, boolean mayRestart, String idempotencyKey) {
+    /** Checks the parts. */
+    public EntryRequest {
+        Arguments.notNull(work, "work");
+        Arguments.notNull(call, "call");
+        Arguments.notNull(idempotencyKey, "idempotencyKey");
+    }
+}
--- /dev/null
+++ b/daemon/src/main/java/io/hornbeamscale/daemon/RequestReader.java
@@ -0,0 +1,281 @@
+package io.hornbeamscale.daemon;
+
+import com.fasterxml.jackson.core.JsonProcessingException;
+import com.fasterxml.jackson.databind.JsonNode;
+import com.fasterxml.jackson.databind.ObjectMapper;
+import com.fasterxml.jackson.databind.node.ObjectNode;
+import io.hornbeamscale.core.document.CustomerSpec;
+import io.hornbeamscale.core.document.Document;
+import io.hornbeamscale.core.document.DocumentIndex;
+import io.hornbeamscale.core.document.KeyDigest;
+import io.hornbeamscale.core.document.ModelSpec;
+import io.hornbeamscale.core.document.ServiceKind;
+import io.hornbeamscale.core.document.ServiceSpec;
+import io.hornbeamscale.core.document.WorkKindSpec;
+import io.hornbeamscale.core.entry.EntryRequest;
+import io.hornbeamscale.core.error.ErrorKind;
+import io.hornbeamscale.core.error.RunOutcome;
+import io.hornbeamscale.core.error.ServingException;
+import io.hornbeamscale.core.id.CustomerId;
+import io.hornbeamscale.core.id.RequestId;
+import io.hornbeamscale.core.id.ServiceId;
+import io.hornbeamscale.core.work.Call;
+import io.hornbeamscale.core.work.Payload;
+import io.hornbeamscale.core.work.WorkItem;
+import java.io.IOException;
+import java.util.ArrayList;
+import java.util.List;
+import java.util.Locale;
+import java.util.Map;
+import java.util.Set;
+
+/** Turns HTTP requests into requests of the core, under one document. */
+final class RequestReader {
+    private static final ObjectMapper JSON = new ObjectMapper();
+    private static final int DEFAULT_MAX_TOKENS = 16;
+    private static final long DEFAULT_WAIT_MILLIS = 30_000;
+    private static final int PREFIX_CHARS = 256;
+    private static final int MAX_PREFIXES = 16;
+    private static final int MAX_KEY_CHARS = 255;
+    private static final Set<String> SAFE_METHODS = Set.of("GET", "HEAD", "OPTIONS");
+
+    private static final String SCHEME = "bearer ";
+
+    private final DocumentIndex index;
+
+    RequestReader(Document document) {
+        this.index = new DocumentIndex(document);
+    }
+
+    /** Returns the greatest body of a request, in bytes. */
+    int maxBodyBytes() {
+        return index.document().limits().maxBodyBytes();
+    }
+
+    /** Returns the customer of an {@code Authorization} header. */
+    CustomerSpec authenticate(String authorization) {
+        if (authorization == null || !authorization.toLowerCase(Locale.ROOT).startsWith(SCHEME)) {
+            throw new ServingException(ErrorKind.UNAUTHORIZED, "the header Authorization must hold a bearer key");
+        }
+        String key = authorization.substring(SCHEME.length()).strip();
+        return index.customerByDigest(KeyDigest.of(key))
+                .orElseThrow(() -> new ServingException(ErrorKind.UNAUTHORIZED, "the key is unknown"));
+    }
+
+    /** Reads a completion. */
+    EntryRequest completion(
+            RequestId id, CustomerSpec customer, Map<String, String> headers, byte[] body, long nowMillis) {
+        ObjectNode json = parse(body);
+        String prompt = text(json, "prompt");
+        ModelSpec model = model(json.path("model"));
+        ServiceSpec service = serviceOf(model, customer);
+        int maxTokens = maxTokens(json.path("max_tokens"), model);
+        boolean isStreaming = flag(json, "stream");
+        WorkKindSpec kind = kind(headers);
+        json.put("stream", true).put("max_tokens", maxTokens).put("priority", kind.priority());
+        WorkItem work = new WorkItem(
+                id,
+                new ServiceId(service.name()),
+                new CustomerId(customer.name()),
+                kind.name(),
+                kind.priority(),
+                countTokens(prompt),
+                maxTokens,
+                prefixes(prompt),
+                nowMillis,
+                nowMillis + kind.maxWaitMillis(),
+                true,
+                false,
+                false,
+                model.name());
+        Call call = new Call(
+                "POST", "/v1/completions", Map.of("content-type", "application/json"), Payload.of(write(json)));
+        boolean mayRestart = "allow".equalsIgnoreCase(headers.getOrDefault("x-restart", ""));
+        return new EntryRequest(work, call, isStreaming, mayRestart, key(headers));
+    }
+
+    /** Reads a plain call to a path below its service. */
+    EntryRequest plain(
+            RequestId id,
+            CustomerSpec customer,
+            String serviceName,
+            String method,
+            String path,
+            String query,
+            Map<String, String> headers,
+            byte[] body,
+            long nowMillis) {
+        ServiceSpec service = index.service(serviceName)
+                .filter(s -> s.kind() == ServiceKind.PLAIN)
+                .orElseThrow(() -> new ServingException(
+                        ErrorKind.NOT_FOUND, "there is no plain service named '" + serviceName + "'"));
+        checkAccess(service, customer);
+        WorkKindSpec kind = kind(headers);
+        WorkItem work = new WorkItem(
+                id,
+                new ServiceId(service.name()),
+                new CustomerId(customer.name()),
+                kind.name(),
+                kind.priority(),
+                0,
+                0,
+                List.of(),
+                nowMillis,
+                nowMillis + kind.maxWaitMillis(),
+                isRepeatable(service, method, path, headers),
+                true,
+                false,
+                "");
+        String target = query.isEmpty() ? path : path + "?" + query;
+        Call call = new Call(method, target, HeaderRules.ofRequest(headers), Payload.of(body));
+        return new EntryRequest(work, call, false, false, key(headers));
+    }
+
+    private static boolean isRepeatable(ServiceSpec service, String method, String path, Map<String, String> headers) {
+        if (SAFE_METHODS.contains(method)) {
+            return true;
+        }
+        if (service.deduplicatesKeys() && headers.containsKey("idempotency-key")) {
+            return true;
+        }
+        for (String rule : service.nonIdempotent()) {
+            int space = rule.indexOf(' ');
+            if (space > 0 && rule.substring(0, space).equals(method) && path.startsWith(rule.substring(space + 1))) {
+                return false;
+            }
+        }
+        return !method.equals("POST") && !method.equals("PATCH");
+    }
+
+    private static ObjectNode parse(byte[] body) {
+        try {
+            if (JSON.readTree(body) instanceof ObjectNode node) {
+                return node;
+            }
+        } catch (JsonProcessingException e) {
+            throw bad("the body is not valid JSON: " + e.getOriginalMessage());
+        } catch (IOException e) {
+            throw new ServingException(ErrorKind.BAD_REQUEST, RunOutcome.NOT_RUN, "the body is not readable", e);
+        }
+        throw bad("the body must be a JSON object");
+    }
+
+    private static String text(JsonNode json, String name) {
+        JsonNode node = json.path(name);
+        if (!node.isTextual() || node.asText().isBlank()) {
+            throw bad("'" + name + "' must be a text that is not blank");
+        }
+        return node.asText();
+    }
+
+    private static boolean flag(JsonNode json, String name) {
+        JsonNode node = json.path(name);
+        if (!node.isMissingNode() && !node.isBoolean()) {
+            throw bad("'" + name + "' must be true or false");
+        }
+        return node.asBoolean();
+    }
+
+    private static int maxTokens(JsonNode node, ModelSpec model) {
+        if (node.isMissingNode()) {
+            return Math.min(DEFAULT_MAX_TOKENS, model.maxOutputTokens());
+        }
+        if (!node.canConvertToInt()
+                || !node.isIntegralNumber()
+                || node.asInt() < 1
+                || node.asInt() > model.maxOutputTokens()) {
+            throw bad("'max_tokens' must be a whole number from 1 to " + model.maxOutputTokens());
+        }
+        return node.asInt();
+    }
+
+    private ModelSpec model(JsonNode node) {
+        if (!node.isTextual()) {
+            throw bad("'model' must name a model");
+        }
+        return index.model(node.asText())
+                .orElseThrow(() ->
+                        new ServingException(ErrorKind.NOT_FOUND, "there is no model named '" + node.asText() + "'"));
+    }
+
+    private ServiceSpec serviceOf(ModelSpec model, CustomerSpec customer) {
+        ServiceSpec found = null;
+        for (ServiceSpec service : index.document().services()) {
+            if (service.models().contains(model.name())) {
+                if (customer.services().contains(service.name())) {
+                    return service;
+                }
+                found = service;
+            }
+        }
+        if (found == null) {
+            throw new ServingException(ErrorKind.NOT_FOUND, "no service offers the model '" + model.name() + "'");
+        }
+        checkAccess(found, customer);
+        return found;
+    }
+
+    private static void checkAccess(ServiceSpec service, CustomerSpec customer) {
+        if (!customer.services().contains(service.name())) {
+            throw new ServingException(
+                    ErrorKind.FORBIDDEN,
+                    "customer '" + customer.name() + "' may not call service '" + service.name() + "'");
+        }
+    }
+
+    private WorkKindSpec kind(Map<String, String> headers) {
+        String name = headers.get("x-work-kind");
+        if (name == null) {
+            List<WorkKindSpec> kinds = index.document().workKinds();
+            return kinds.isEmpty() ? new WorkKindSpec("default", 0, DEFAULT_WAIT_MILLIS) : kinds.get(0);
+        }
+        return index.workKind(name)
+                .orElseThrow(() -> bad("the header X-Work-Kind names no kind of work: '" + name + "'"));
+    }
+
+    private static String key(Map<String, String> headers) {
+        String key = headers.getOrDefault("idempotency-key", "");
+        if (key.length() > MAX_KEY_CHARS) {
+            throw bad("the header Idempotency-Key must have at most " + MAX_KEY_CHARS + " characters");
+        }
+        return key;
+    }
+
+    /** Counts words, since the engine's tokenizer is not available here. */
+    private static int countTokens(String prompt) {
+        int count = 0;
+        boolean wasSpace = true;
+        for (int i = 0; i < prompt.length(); i++) {
+            boolean isSpace = Character.isWhitespace(prompt.charAt(i));
+            if (wasSpace && !isSpace) {
+                count++;
+            }
+            wasSpace = isSpace;
+        }
+        return count;
+    }
+
+    private static List<Long> prefixes(String prompt) {
+        List<Long> hashes = new ArrayList<>();
+        long hash = 1125899906842597L;
+        for (int i = 0; i < prompt.length() && hashes.size() < MAX_PREFIXES; i++) {
+            hash = 31 * hash + prompt.charAt(i);
+            if ((i + 1) % PREFIX_CHARS == 0) {
+                hashes.add(hash);
+            }
+        }
+        return hashes;
+    }
+
+    private static byte[] write(ObjectNode json) {
+        try {
+            return JSON.writeValueAsBytes(json);
+        } catch (JsonProcessingException e) {
+            throw new IllegalStateException("cannot write JSON", e);
+        }
+    }
+
+    private static ServingException bad(String message) {
+        return new ServingException(ErrorKind.BAD_REQUEST, message);
+    }
+}
--- /dev/null
+++ b/wire/src/main/java/io/hornbeamscale/wire/message/Revoked.java
@@ -0,0 +1,30 @@
+package io.hornbeamscale.wire.message;
+
+import com.fasterxml.jackson.annotation.JsonProperty;
+import io.hornbeamscale.core.util.Arguments;
+
+/**
+ * Answers a revocation.
+ *
+ * @param request the request, not blank
+ * @param attempt the number of the attempt, from 1
+ * @param incarnation the incarnation in the grant
+ * @param sequence the sequence number of the grant
+ * @param neverStarted whether the attempt has not started and never will
+ * @param state the state of the attempt; null means empty
+ */
+public record Revoked(
+        @JsonProperty("r") String request,
+        @JsonProperty("a") int attempt,
+        @JsonProperty("in") long incarnation,
+        @JsonProperty("sq") long sequence,
+        @JsonProperty("ns") boolean neverStarted,
+        @JsonProperty("st") String state)
+        implements AttemptMessage {
+    /** Checks required fields and replaces missing optional ones. */
+    public Revoked {
+        Arguments.notBlank(request, "request");
+        Arguments.positive(attempt, "attempt");
+        state = state == null ? "" : state;
+    }
+}
