Guard keyed calls with claims in the entry

Cause: a keyed call that must not be repeated was handed over without a claim.

Change: the entry writes the claim through the platform's store before the hand-over, replays recorded results, asks the holder's agent for a revocation, and records results. The agent keeps the latest answers so that a resend at another entry obtains them. The controller's events are split by subject.

--- a/core/src/main/java/io/hornbeamscale/core/agent/AgentAction.java
+++ b/core/src/main/java/io/hornbeamscale/core/agent/AgentAction.java
@@ -108,8 +108,19 @@
      * @param grant the grant of the attempt
      * @param neverStarted whether the attempt has not started and never will
      * @param state the state of the attempt
+     * @param status the HTTP status of the answer if it is still held, 0 otherwise
+     * @param contentType the content type of the answer, empty if there is none
+     * @param body the body of the answer
      */
-    record SendRevoked(NodeId entry, AttemptId attempt, GrantId grant, boolean neverStarted, String state)
+    record SendRevoked(
+            NodeId entry,
+            AttemptId attempt,
+            GrantId grant,
+            boolean neverStarted,
+            String state,
+            int status,
+            String contentType,
+            Payload body)
             implements AgentAction {}
 
     /**
--- a/core/src/main/java/io/hornbeamscale/core/agent/AgentController.java
+++ b/core/src/main/java/io/hornbeamscale/core/agent/AgentController.java
@@ -42,6 +42,7 @@
     private final Map<AttemptId, Reservation> reservations = new HashMap<>();
     private final Map<GenerationId, RunningCall> running = new LinkedHashMap<>();
     private final Map<AttemptId, GenerationId> generations = new HashMap<>();
+    private final AnswerCache answers = new AnswerCache();
 
     /**
      * Creates a controller without work.
@@ -289,12 +290,7 @@
                     reservations.remove(attempt);
                     schedule(scheduler.cancel(attempt, nowMillis), actions, nowMillis);
                 }
-                actions.add(new AgentAction.SendRevoked(
-                        entry,
-                        attempt,
-                        grant,
-                        answer.isNeverStarted(),
-                        answer.state().name()));
+                actions.add(answers.revoked(entry, answer));
             }
         }
         return actions;
--- /dev/null
+++ b/core/src/main/java/io/hornbeamscale/core/entry/ClaimEvents.java
@@ -0,0 +1,142 @@
+package io.hornbeamscale.core.entry;
+
+import io.hornbeamscale.core.attempt.AttemptState;
+import io.hornbeamscale.core.claim.ClaimAction;
+import io.hornbeamscale.core.claim.ClaimAnswer;
+import io.hornbeamscale.core.claim.ClaimForward;
+import io.hornbeamscale.core.claim.ClaimOwner;
+import io.hornbeamscale.core.claim.ClaimResult;
+import io.hornbeamscale.core.dispatch.DispatchAction;
+import io.hornbeamscale.core.id.AttemptId;
+import io.hornbeamscale.core.id.NodeId;
+import io.hornbeamscale.core.id.RequestId;
+import io.hornbeamscale.core.store.StoreCall;
+import io.hornbeamscale.core.store.StoreReply;
+import java.util.ArrayList;
+import java.util.List;
+
+/** The events of claims at one entry. Every method returns the actions to carry out, never null. */
+public final class ClaimEvents {
+    private final EntryController controller;
+    private final KeyedCalls keyed;
+
+    ClaimEvents(EntryController controller, KeyedCalls keyed) {
+        this.controller = controller;
+        this.keyed = keyed;
+    }
+
+    /**
+     * Handles the answer to a revocation.
+     *
+     * @param holder the attempt that was asked about, not null
+     * @param state what the agent knows, not null
+     * @param result the result if the agent still holds it, otherwise null
+     * @param nowMillis the present time
+     * @return the actions to carry out
+     */
+    public List<EntryAction> revoked(ClaimOwner holder, AttemptState state, ClaimResult result, long nowMillis) {
+        List<EntryAction> actions = new ArrayList<>();
+        carryOut(keyed.revokeAnswered(holder, state, result, nowMillis), actions, nowMillis);
+        return actions;
+    }
+
+    /**
+     * Handles a reply of the store.
+     *
+     * @param call the call that was replied to, not null
+     * @param reply the reply, not null
+     * @param nowMillis the present time
+     * @return the actions to carry out
+     */
+    public List<EntryAction> storeReplied(StoreCall call, StoreReply reply, long nowMillis) {
+        List<EntryAction> actions = new ArrayList<>();
+        carryOut(keyed.storeReplied(call, reply, nowMillis), actions, nowMillis);
+        return actions;
+    }
+
+    /**
+     * Sets the entries among which the writers of claims are chosen.
+     *
+     * @param live the entries, not null
+     * @param nowMillis the present time
+     * @return the actions to carry out
+     */
+    public List<EntryAction> members(List<NodeId> live, long nowMillis) {
+        List<EntryAction> actions = new ArrayList<>();
+        carryOut(keyed.members(live, nowMillis), actions, nowMillis);
+        return actions;
+    }
+
+    /**
+     * Handles a change of a claim that another entry forwarded.
+     *
+     * @param from the entry, not null
+     * @param forward the change, not null
+     * @param nowMillis the present time
+     * @return the actions to carry out
+     */
+    public List<EntryAction> forwarded(NodeId from, ClaimForward forward, long nowMillis) {
+        List<EntryAction> actions = new ArrayList<>();
+        carryOut(keyed.forwarded(from, forward, nowMillis), actions, nowMillis);
+        return actions;
+    }
+
+    /**
+     * Handles the answer to a forwarded change of a claim.
+     *
+     * @param answer the answer, not null
+     * @param nowMillis the present time
+     * @return the actions to carry out
+     */
+    public List<EntryAction> answered(ClaimAnswer answer, long nowMillis) {
+        List<EntryAction> actions = new ArrayList<>();
+        carryOut(keyed.answered(answer, nowMillis), actions, nowMillis);
+        return actions;
+    }
+
+    /** Translates the actions of the claims. */
+    void carryOut(List<ClaimAction> claimed, List<EntryAction> actions, long nowMillis) {
+        for (ClaimAction action : claimed) {
+            if (action instanceof ClaimAction.CallStore a) {
+                actions.add(new EntryAction.CallStore(a.call()));
+            } else if (action instanceof ClaimAction.Proceed a) {
+                proceed(a.owner().attempt(), actions, nowMillis);
+            } else if (action instanceof ClaimAction.Replay a) {
+                RequestId id = a.owner().attempt().request();
+                settleClaim(a.owner().attempt(), KeyedCalls.replay(id, a.result()), actions, nowMillis);
+            } else if (action instanceof ClaimAction.Refuse a) {
+                RequestId id = a.owner().attempt().request();
+                EntryAction refusal = KeyedCalls.refusal(id, a.kind(), a.outcome());
+                settleClaim(a.owner().attempt(), refusal, actions, nowMillis);
+            } else if (action instanceof ClaimAction.AskRevoke a) {
+                ClaimOwner holder = a.holder();
+                actions.add(new EntryAction.SendRevoke(
+                        holder.backend(), holder.attempt(), holder.grant(), "a resend of the call asks"));
+            } else if (action instanceof ClaimAction.SendForward a) {
+                actions.add(new EntryAction.SendClaimForward(a.writer(), a.forward()));
+            } else if (action instanceof ClaimAction.SendAnswer a) {
+                actions.add(new EntryAction.SendClaimAnswer(a.entry(), a.answer()));
+            }
+        }
+    }
+
+    private void proceed(AttemptId attempt, List<EntryAction> actions, long nowMillis) {
+        DispatchAction.SendStart start = keyed.waitingStart(attempt);
+        OpenRequest request = controller.request(attempt.request());
+        if (start == null || request == null || !controller.dispatcher().isLive(attempt)) {
+            controller.releaseUnused(request, keyed.notStarted(attempt), actions, nowMillis);
+            return;
+        }
+        keyed.proceed(attempt);
+        EntryController.send(start, request, 1, actions);
+    }
+
+    /** Ends a request with the result of its claim; the attempt that asked is not handed over. */
+    private void settleClaim(AttemptId attempt, EntryAction end, List<EntryAction> actions, long nowMillis) {
+        keyed.forget(attempt);
+        if (controller.close(attempt.request())) {
+            actions.add(end);
+            controller.dispatch(controller.dispatcher().cancelled(attempt.request(), nowMillis), actions, nowMillis);
+        }
+    }
+}
--- a/core/src/main/java/io/hornbeamscale/core/entry/EntryAction.java
+++ b/core/src/main/java/io/hornbeamscale/core/entry/EntryAction.java
@@ -1,5 +1,7 @@
 package io.hornbeamscale.core.entry;
 
+import io.hornbeamscale.core.claim.ClaimAnswer;
+import io.hornbeamscale.core.claim.ClaimForward;
 import io.hornbeamscale.core.error.ErrorKind;
 import io.hornbeamscale.core.error.RunOutcome;
 import io.hornbeamscale.core.id.AttemptId;
@@ -7,6 +9,7 @@
 import io.hornbeamscale.core.id.CustomerId;
 import io.hornbeamscale.core.id.GenerationId;
 import io.hornbeamscale.core.id.GrantId;
+import io.hornbeamscale.core.id.NodeId;
 import io.hornbeamscale.core.id.RequestId;
 import io.hornbeamscale.core.store.StoreCall;
 import io.hornbeamscale.core.stream.EventId;
@@ -82,12 +85,27 @@
     record SendRevoke(BackendId backend, AttemptId attempt, GrantId grant, String reason) implements EntryAction {}
 
     /**
-     * Calls the store. The reply goes back to the controller under the same number.
+     * Calls the store and passes the reply to the controller.
      *
-     * @param number the number of the call
      * @param call the call
      */
-    record CallStore(long number, StoreCall call) implements EntryAction {}
+    record CallStore(StoreCall call) implements EntryAction {}
+
+    /**
+     * Sends a change of a claim to the entry that writes its partition.
+     *
+     * @param writer the entry
+     * @param forward the change
+     */
+    record SendClaimForward(NodeId writer, ClaimForward forward) implements EntryAction {}
+
+    /**
+     * Answers a forwarded change of a claim.
+     *
+     * @param entry the entry that asked
+     * @param answer the answer
+     */
+    record SendClaimAnswer(NodeId entry, ClaimAnswer answer) implements EntryAction {}
 
     /**
      * Delivers tokens to a streaming caller.
--- a/core/src/main/java/io/hornbeamscale/core/entry/EntryController.java
+++ b/core/src/main/java/io/hornbeamscale/core/entry/EntryController.java
@@ -1,5 +1,8 @@
 package io.hornbeamscale.core.entry;
 
+import io.hornbeamscale.core.claim.ClaimAction;
+import io.hornbeamscale.core.claim.ClaimController;
+import io.hornbeamscale.core.claim.ClaimOwner;
 import io.hornbeamscale.core.dispatch.BackendPlace;
 import io.hornbeamscale.core.dispatch.DispatchAction;
 import io.hornbeamscale.core.dispatch.Dispatcher;
@@ -17,7 +20,6 @@
 import io.hornbeamscale.core.stream.StreamAssembler;
 import io.hornbeamscale.core.util.Arguments;
 import io.hornbeamscale.core.work.BackendStatus;
-import io.hornbeamscale.core.work.Payload;
 import java.util.ArrayList;
 import java.util.LinkedHashMap;
 import java.util.List;
@@ -33,6 +35,9 @@
     public static final long ABANDONED_MILLIS = 2_000;
 
     private final Dispatcher dispatcher;
+    private final KeyedCalls keyed;
+    private final ClaimEvents claimEvents;
+    private final ResponseEvents responseEvents;
     private final Map<RequestId, OpenRequest> open = new LinkedHashMap<>();
     private boolean isDraining;
     private long droppedFrames;
@@ -41,8 +46,12 @@
      * Creates a controller without requests.
      *
      * @param dispatcher decides where requests run, not null
+     * @param claims guards calls that must not be repeated, not null
      */
-    public EntryController(Dispatcher dispatcher) {
+    public EntryController(Dispatcher dispatcher, ClaimController claims) {
+        this.keyed = new KeyedCalls(Arguments.notNull(claims, "claims"));
+        this.claimEvents = new ClaimEvents(this, keyed);
+        this.responseEvents = new ResponseEvents(this, keyed);
         this.dispatcher = Arguments.notNull(dispatcher, "dispatcher");
     }
 
@@ -120,103 +129,19 @@
         OpenRequest request = open.get(attempt.request());
         if (request != null) {
             request.handovers.remove(attempt);
+            noteNotStarted(attempt, request);
         }
         dispatch(dispatcher.refused(backend, attempt, kind, retryAfterMillis, nowMillis), actions, nowMillis);
         return actions;
     }
 
     /**
-     * Handles tokens.
+     * Returns the part that handles what agents send of responses.
      *
-     * @param attempt the attempt that the frame carries, not null
-     * @param generation the generation that the frame carries, not null
-     * @param offset the offset of the first token
-     * @param texts the texts of the tokens, not null
-     * @param nowMillis the present time
-     * @return the actions to carry out
-     */
-    public List<EntryAction> tokens(
-            AttemptId attempt, GenerationId generation, long offset, List<String> texts, long nowMillis) {
-        List<EntryAction> actions = new ArrayList<>();
-        OpenRequest request = find(attempt, generation, nowMillis);
-        if (request == null) {
-            cancelUnknown(attempt, generation, actions);
-            return actions;
-        }
-        long before = request.assembler.nextOffset();
-        List<StreamAction> assembled = request.assembler.tokens(attempt, generation, offset, texts, nowMillis);
-        int fresh = (int) (request.assembler.nextOffset() - before);
-        if (fresh > 0 && !request.isResumed()) {
-            dispatch(dispatcher.tokens(attempt, fresh, nowMillis), actions, nowMillis);
-        }
-        assemble(attempt.request(), request, assembled, actions, nowMillis);
-        return actions;
-    }
-
-    /**
-     * Handles the end of a generation.
-     *
-     * @param attempt the attempt that the frame carries, not null
-     * @param generation the generation that the frame carries, not null
-     * @param totalTokens the number of tokens of the whole generation
-     * @param finishReason the engine's reason, not null
-     * @param nowMillis the present time
-     * @return the actions to carry out
-     */
-    public List<EntryAction> ended(
-            AttemptId attempt, GenerationId generation, long totalTokens, String finishReason, long nowMillis) {
-        List<EntryAction> actions = new ArrayList<>();
-        OpenRequest request = find(attempt, generation, nowMillis);
-        if (request != null) {
-            List<StreamAction> assembled =
-                    request.assembler.ended(attempt, generation, totalTokens, finishReason, nowMillis);
-            assemble(attempt.request(), request, assembled, actions, nowMillis);
-        }
-        return actions;
-    }
-
-    /**
-     * Handles the answer to a plain call.
-     *
-     * @param attempt the attempt that the frame carries, not null
-     * @param status the HTTP status
-     * @param headers the headers, not null
-     * @param body the body, not null
-     * @param nowMillis the present time
-     * @return the actions to carry out
-     */
-    public List<EntryAction> answered(
-            AttemptId attempt, int status, Map<String, String> headers, Payload body, long nowMillis) {
-        List<EntryAction> actions = new ArrayList<>();
-        OpenRequest request = open.get(attempt.request());
-        if (request == null || !request.isPlain() || !request.handovers.containsKey(attempt)) {
-            droppedFrames++;
-            return actions;
-        }
-        open.remove(attempt.request());
-        actions.add(new EntryAction.Answer(attempt.request(), status, headers, body));
-        dispatch(dispatcher.ended(attempt, nowMillis), actions, nowMillis);
-        return actions;
-    }
-
-    /**
-     * Handles the failure of an attempt.
-     *
-     * @param attempt the attempt that the frame carries, not null
-     * @param kind the error, not null
-     * @param outcome what is known about the execution, not null
-     * @param nowMillis the present time
-     * @return the actions to carry out
+     * @return the part, never null
      */
-    public List<EntryAction> failed(AttemptId attempt, ErrorKind kind, RunOutcome outcome, long nowMillis) {
-        List<EntryAction> actions = new ArrayList<>();
-        OpenRequest request = open.get(attempt.request());
-        if (request == null) {
-            droppedFrames++;
-            return actions;
-        }
-        fail(attempt, request, kind, outcome, actions, nowMillis);
-        return actions;
+    public ResponseEvents responses() {
+        return responseEvents;
     }
 
     /**
@@ -286,14 +211,22 @@
             }
             for (Map.Entry<AttemptId, OpenRequest.Handover> handover : List.copyOf(request.handovers.entrySet())) {
                 if (handover.getValue().backend().equals(backend)) {
-                    ErrorKind kind = request.isRepeatable() ? ErrorKind.BACKEND_FAILED : ErrorKind.OUTCOME_UNKNOWN;
-                    fail(handover.getKey(), request, kind, RunOutcome.UNKNOWN, actions, nowMillis);
+                    lost(handover.getKey(), request, actions, nowMillis);
                 }
             }
         }
         return actions;
     }
 
+    /**
+     * Returns the part that handles the events of claims.
+     *
+     * @return the part, never null
+     */
+    public ClaimEvents claims() {
+        return claimEvents;
+    }
+
     /**
      * Refuses new requests from now on.
      *
@@ -314,6 +247,7 @@
     public List<EntryAction> tick(long nowMillis) {
         List<EntryAction> actions = new ArrayList<>();
         dispatch(dispatcher.tick(nowMillis), actions, nowMillis);
+        claim(keyed.tick(nowMillis), actions, nowMillis);
         for (Map.Entry<RequestId, OpenRequest> entry : List.copyOf(open.entrySet())) {
             OpenRequest request = entry.getValue();
             if (request.goneMillis >= 0 && nowMillis - request.goneMillis >= ABANDONED_MILLIS) {
@@ -350,8 +284,57 @@
         return request.mayRestart() ? DeliveryMode.STREAM_OR_RESTART : DeliveryMode.STREAM;
     }
 
+    private void lost(AttemptId attempt, OpenRequest request, List<EntryAction> actions, long nowMillis) {
+        if (keyed.waitingStart(attempt) != null) {
+            claim(keyed.withdrawn(attempt.request(), nowMillis), actions, nowMillis);
+            fail(attempt, request, ErrorKind.NO_BACKEND, RunOutcome.NOT_RUN, actions, nowMillis);
+            return;
+        }
+        ErrorKind kind = request.isRepeatable() ? ErrorKind.BACKEND_FAILED : ErrorKind.OUTCOME_UNKNOWN;
+        fail(attempt, request, kind, RunOutcome.UNKNOWN, actions, nowMillis);
+    }
+
+    private void noteNotStarted(AttemptId attempt, OpenRequest request) {
+        ClaimOwner owner = keyed.notStarted(attempt);
+        if (owner != null) {
+            request.unusedClaim = owner;
+        }
+    }
+
+    /** Finds the plain call of a frame, null if the frame belongs to none. */
+    OpenRequest findPlain(AttemptId attempt) {
+        OpenRequest request = open.get(attempt.request());
+        if (request == null || !request.isPlain() || !request.handovers.containsKey(attempt)) {
+            droppedFrames++;
+            return null;
+        }
+        return request;
+    }
+
+    /** Finds the request of a failure, null if there is none. */
+    OpenRequest findAny(AttemptId attempt) {
+        OpenRequest request = open.get(attempt.request());
+        if (request == null) {
+            droppedFrames++;
+        }
+        return request;
+    }
+
+    /** Removes a request; returns whether it was open. */
+    boolean close(RequestId id) {
+        return open.remove(id) != null;
+    }
+
+    OpenRequest request(RequestId id) {
+        return open.get(id);
+    }
+
+    Dispatcher dispatcher() {
+        return dispatcher;
+    }
+
     /** Finds the request of a frame. The first attempt that emits becomes the one whose output is delivered. */
-    private OpenRequest find(AttemptId attempt, GenerationId generation, long nowMillis) {
+    OpenRequest find(AttemptId attempt, GenerationId generation, long nowMillis) {
         OpenRequest request = open.get(attempt.request());
         if (request == null || request.isPlain()) {
             droppedFrames++;
@@ -366,12 +349,7 @@
         return request;
     }
 
-    /** Stops a generation that nobody at this entry waits for, such as one whose cancellation was lost. */
-    private static void cancelUnknown(AttemptId attempt, GenerationId generation, List<EntryAction> actions) {
-        actions.add(new EntryAction.SendCancel(generation.backend(), attempt));
-    }
-
-    private void fail(
+    void fail(
             AttemptId attempt,
             OpenRequest request,
             ErrorKind kind,
@@ -379,6 +357,11 @@
             List<EntryAction> actions,
             long nowMillis) {
         OpenRequest.Handover handover = request.handovers.remove(attempt);
+        if (outcome == RunOutcome.NOT_RUN) {
+            noteNotStarted(attempt, request);
+        } else {
+            keyed.forget(attempt);
+        }
         if (!request.isPlain() && attempt.equals(request.current)) {
             GenerationId generation = handover == null ? request.resumedGeneration : handover.generation();
             List<StreamAction> assembled = request.assembler.failed(attempt, generation, kind, outcome, nowMillis);
@@ -390,6 +373,7 @@
 
     private void cancel(RequestId id, OpenRequest request, List<EntryAction> actions, long nowMillis) {
         open.remove(id);
+        claim(keyed.withdrawn(id, nowMillis), actions, nowMillis);
         if (request.isResumed()) {
             actions.add(new EntryAction.SendCancel(request.resumedGeneration.backend(), request.current));
         } else {
@@ -397,7 +381,7 @@
         }
     }
 
-    private void assemble(
+    void assemble(
             RequestId id,
             OpenRequest request,
             List<StreamAction> assembled,
@@ -415,9 +399,10 @@
             List<EntryAction> actions,
             long nowMillis) {
         for (StreamAction action : assembled) {
-            if (action instanceof StreamAction.Deliver a) {
-                actions.add(new EntryAction.Deliver(id, a.id(), a.texts()));
-            } else if (action instanceof StreamAction.DeliverEnd a) {
+            if (StreamActions.translate(id, request, action, actions)) {
+                continue;
+            }
+            if (action instanceof StreamAction.DeliverEnd a) {
                 finish(
                         id,
                         request,
@@ -427,8 +412,6 @@
             } else if (action instanceof StreamAction.DeliverWhole a) {
                 EventId end = new EventId(a.generation(), a.texts().size());
                 finish(id, request, new EntryAction.Finish(id, end, a.texts(), a.finishReason()), actions, nowMillis);
-            } else if (action instanceof StreamAction.DeliverRestart a) {
-                actions.add(new EntryAction.Restart(id, a.lost()));
             } else if (action instanceof StreamAction.DeliverError a) {
                 open.remove(id);
                 actions.add(new EntryAction.Fail(id, a.kind(), a.outcome(), 0, a.offset()));
@@ -440,12 +423,6 @@
                 }
             } else if (action instanceof StreamAction.RunAgain) {
                 dispatch(dispatcher.failed(request.current, kind, outcome, false, nowMillis), actions, nowMillis);
-            } else if (action instanceof StreamAction.SendAck a) {
-                actions.add(
-                        new EntryAction.SendAck(a.generation().backend(), request.current, a.generation(), a.offset()));
-            } else if (action instanceof StreamAction.SendResume a) {
-                actions.add(new EntryAction.SendResume(
-                        a.generation().backend(), request.current, request.customer, a.generation(), a.offset()));
             }
         }
     }
@@ -459,7 +436,7 @@
         }
     }
 
-    private void dispatch(List<DispatchAction> dispatched, List<EntryAction> actions, long nowMillis) {
+    void dispatch(List<DispatchAction> dispatched, List<EntryAction> actions, long nowMillis) {
         for (DispatchAction action : dispatched) {
             if (action instanceof DispatchAction.SendReserve a) {
                 actions.add(new EntryAction.SendReserve(a.backend(), a.attempt(), a.work()));
@@ -471,6 +448,7 @@
                 OpenRequest request = open.remove(a.request());
                 if (request != null) {
                     actions.add(new EntryAction.Fail(a.request(), a.kind(), a.outcome(), a.retryAfterMillis(), 0));
+                    releaseUnused(request, request.unusedClaim, actions, nowMillis);
                 }
             }
         }
@@ -488,12 +466,33 @@
             request.current = start.attempt();
             request.assembler.handedOver(start.attempt(), generation, nowMillis);
         }
+        if (request.needsClaim()) {
+            ClaimOwner earlier = request.unusedClaim;
+            request.unusedClaim = null;
+            claim(keyed.begin(start, request.request, earlier, nowMillis), actions, nowMillis);
+        } else {
+            send(start, request, 0, actions);
+        }
+    }
+
+    static void send(
+            DispatchAction.SendStart start, OpenRequest request, long claimVersion, List<EntryAction> actions) {
         actions.add(new EntryAction.SendStart(
                 start.backend(),
                 start.attempt(),
                 start.grant(),
                 request.request.call(),
                 start.work().deadlineMillis(),
-                0));
+                claimVersion));
+    }
+
+    private void claim(List<ClaimAction> claimed, List<EntryAction> actions, long nowMillis) {
+        claimEvents.carryOut(claimed, actions, nowMillis);
+    }
+
+    void releaseUnused(OpenRequest request, ClaimOwner owner, List<EntryAction> actions, long nowMillis) {
+        if (request != null && request.request != null && owner != null) {
+            claim(keyed.released(request.request, owner, nowMillis), actions, nowMillis);
+        }
     }
 }
--- a/core/src/main/java/io/hornbeamscale/core/entry/EntryRequest.java
+++ b/core/src/main/java/io/hornbeamscale/core/entry/EntryRequest.java
@@ -1,5 +1,6 @@
 package io.hornbeamscale.core.entry;
 
+import io.hornbeamscale.core.claim.ClaimNeed;
 import io.hornbeamscale.core.util.Arguments;
 import io.hornbeamscale.core.work.Call;
 import io.hornbeamscale.core.work.WorkItem;
@@ -12,12 +13,15 @@
  * @param isStreaming whether the caller wants tokens as they arrive
  * @param mayRestart whether the caller accepts a new generation after tokens of another one
  * @param idempotencyKey the caller's idempotency key, empty if it sent none
+ * @param need how the call is protected against a second execution, not null
  */
-public record EntryRequest(WorkItem work, Call call, boolean isStreaming, boolean mayRestart, String idempotencyKey) {
+public record EntryRequest(
+        WorkItem work, Call call, boolean isStreaming, boolean mayRestart, String idempotencyKey, ClaimNeed need) {
     /** Checks the parts. */
     public EntryRequest {
         Arguments.notNull(work, "work");
         Arguments.notNull(call, "call");
         Arguments.notNull(idempotencyKey, "idempotencyKey");
+        Arguments.notNull(need, "need");
     }
 }
--- a/core/src/main/java/io/hornbeamscale/core/entry/OpenRequest.java
+++ b/core/src/main/java/io/hornbeamscale/core/entry/OpenRequest.java
@@ -1,5 +1,7 @@
 package io.hornbeamscale.core.entry;
 
+import io.hornbeamscale.core.claim.ClaimNeed;
+import io.hornbeamscale.core.claim.ClaimOwner;
 import io.hornbeamscale.core.id.AttemptId;
 import io.hornbeamscale.core.id.BackendId;
 import io.hornbeamscale.core.id.CustomerId;
@@ -23,6 +25,8 @@
     GenerationId resumedGeneration;
 
     long goneMillis = -1;
+    /** The claim of an attempt that never started, null if there is none. */
+    ClaimOwner unusedClaim;
 
     OpenRequest(EntryRequest request, StreamAssembler assembler, CustomerId customer) {
         this.request = request;
@@ -46,5 +50,9 @@
         return request != null && request.work().isRepeatable();
     }
 
+    boolean needsClaim() {
+        return request != null && request.need() == ClaimNeed.CLAIM;
+    }
+
     record Handover(BackendId backend, GrantId grant, GenerationId generation) {}
 }
--- /dev/null
+++ b/core/src/main/java/io/hornbeamscale/core/entry/ResponseEvents.java
@@ -0,0 +1,120 @@
+package io.hornbeamscale.core.entry;
+
+import io.hornbeamscale.core.error.ErrorKind;
+import io.hornbeamscale.core.error.RunOutcome;
+import io.hornbeamscale.core.id.AttemptId;
+import io.hornbeamscale.core.id.GenerationId;
+import io.hornbeamscale.core.stream.StreamAction;
+import io.hornbeamscale.core.work.Payload;
+import java.util.ArrayList;
+import java.util.List;
+import java.util.Map;
+
+/** The events of responses at one entry. Every method returns the actions to carry out, never null. */
+public final class ResponseEvents {
+    private final EntryController controller;
+    private final KeyedCalls keyed;
+
+    ResponseEvents(EntryController controller, KeyedCalls keyed) {
+        this.controller = controller;
+        this.keyed = keyed;
+    }
+
+    /**
+     * Handles tokens.
+     *
+     * @param attempt the attempt that the frame carries, not null
+     * @param generation the generation that the frame carries, not null
+     * @param offset the offset of the first token
+     * @param texts the texts of the tokens, not null
+     * @param nowMillis the present time
+     * @return the actions to carry out
+     */
+    public List<EntryAction> tokens(
+            AttemptId attempt, GenerationId generation, long offset, List<String> texts, long nowMillis) {
+        List<EntryAction> actions = new ArrayList<>();
+        OpenRequest request = controller.find(attempt, generation, nowMillis);
+        if (request == null) {
+            cancelUnknown(attempt, generation, actions);
+            return actions;
+        }
+        long before = request.assembler.nextOffset();
+        List<StreamAction> assembled = request.assembler.tokens(attempt, generation, offset, texts, nowMillis);
+        int fresh = (int) (request.assembler.nextOffset() - before);
+        if (fresh > 0 && !request.isResumed()) {
+            controller.dispatch(controller.dispatcher().tokens(attempt, fresh, nowMillis), actions, nowMillis);
+        }
+        controller.assemble(attempt.request(), request, assembled, actions, nowMillis);
+        return actions;
+    }
+
+    /**
+     * Handles the end of a generation.
+     *
+     * @param attempt the attempt that the frame carries, not null
+     * @param generation the generation that the frame carries, not null
+     * @param totalTokens the number of tokens of the whole generation
+     * @param finishReason the engine's reason, not null
+     * @param nowMillis the present time
+     * @return the actions to carry out
+     */
+    public List<EntryAction> ended(
+            AttemptId attempt, GenerationId generation, long totalTokens, String finishReason, long nowMillis) {
+        List<EntryAction> actions = new ArrayList<>();
+        OpenRequest request = controller.find(attempt, generation, nowMillis);
+        if (request != null) {
+            List<StreamAction> assembled =
+                    request.assembler.ended(attempt, generation, totalTokens, finishReason, nowMillis);
+            controller.assemble(attempt.request(), request, assembled, actions, nowMillis);
+        }
+        return actions;
+    }
+
+    /**
+     * Handles the answer to a plain call.
+     *
+     * @param attempt the attempt that the frame carries, not null
+     * @param status the HTTP status
+     * @param headers the headers, not null
+     * @param body the body, not null
+     * @param nowMillis the present time
+     * @return the actions to carry out
+     */
+    public List<EntryAction> answered(
+            AttemptId attempt, int status, Map<String, String> headers, Payload body, long nowMillis) {
+        List<EntryAction> actions = new ArrayList<>();
+        OpenRequest request = controller.findPlain(attempt);
+        if (request == null) {
+            return actions;
+        }
+        controller.close(attempt.request());
+        actions.add(new EntryAction.Answer(attempt.request(), status, headers, body));
+        controller.claims().carryOut(keyed.answered(attempt, status, headers, body, nowMillis), actions, nowMillis);
+        controller.dispatch(controller.dispatcher().ended(attempt, nowMillis), actions, nowMillis);
+        return actions;
+    }
+
+    /**
+     * Handles the failure of an attempt.
+     *
+     * @param attempt the attempt that the frame carries, not null
+     * @param kind the error, not null
+     * @param outcome what is known about the execution, not null
+     * @param nowMillis the present time
+     * @return the actions to carry out
+     */
+    public List<EntryAction> failed(AttemptId attempt, ErrorKind kind, RunOutcome outcome, long nowMillis) {
+        List<EntryAction> actions = new ArrayList<>();
+        OpenRequest request = controller.findAny(attempt);
+        if (request == null) {
+            return actions;
+        }
+        controller.fail(attempt, request, kind, outcome, actions, nowMillis);
+        return actions;
+    }
+
+    /** Stops a generation that nobody at this entry waits for, such as one whose cancellation was lost. */
+    private static void cancelUnknown(AttemptId attempt, GenerationId generation, List<EntryAction> actions) {
+        actions.add(new EntryAction.SendCancel(generation.backend(), attempt));
+    }
+}
--- a/daemon/src/main/java/io/hornbeamscale/daemon/Addresses.java
+++ b/daemon/src/main/java/io/hornbeamscale/daemon/Addresses.java
@@ -2,6 +2,7 @@
 
 import java.net.InetAddress;
 import java.net.InetSocketAddress;
+import java.net.URI;
 import java.net.UnknownHostException;
 
 /** Reads and writes addresses of the form {@code ip:port}. */
@@ -31,6 +32,11 @@
         return port > MAX_PORT ? null : of(bytes, port);
     }
 
+    /** Returns the address of an HTTP server. */
+    static InetSocketAddress of(URI server) {
+        return parse(server.getHost() + ":" + server.getPort());
+    }
+
     /** Returns an address of the local host. */
     static InetSocketAddress loopback(int port) {
         return of(new byte[] {127, 0, 0, 1}, port);
--- a/daemon/src/main/java/io/hornbeamscale/daemon/EntryDaemon.java
+++ b/daemon/src/main/java/io/hornbeamscale/daemon/EntryDaemon.java
@@ -1,10 +1,14 @@
 package io.hornbeamscale.daemon;
 
+import io.hornbeamscale.core.claim.ClaimController;
+import io.hornbeamscale.core.claim.ClaimOwner;
+import io.hornbeamscale.core.claim.ClaimSettings;
 import io.hornbeamscale.core.dispatch.BackendPlace;
 import io.hornbeamscale.core.dispatch.DispatcherConfig;
 import io.hornbeamscale.core.dispatch.ReservationDispatcher;
 import io.hornbeamscale.core.document.BackendSpec;
 import io.hornbeamscale.core.document.Document;
+import io.hornbeamscale.core.document.LimitsSpec;
 import io.hornbeamscale.core.entry.EntryAction;
 import io.hornbeamscale.core.entry.EntryController;
 import io.hornbeamscale.core.entry.EntryRequest;
@@ -16,17 +20,25 @@
 import io.hornbeamscale.core.id.CustomerId;
 import io.hornbeamscale.core.id.GenerationId;
 import io.hornbeamscale.core.id.GrantId;
+import io.hornbeamscale.core.id.NodeId;
 import io.hornbeamscale.core.id.RegionId;
 import io.hornbeamscale.core.id.RequestId;
 import io.hornbeamscale.core.id.ServiceId;
 import io.hornbeamscale.core.id.ZoneId;
+import io.hornbeamscale.core.store.StoreCall;
+import io.hornbeamscale.core.store.StoreReply;
 import io.hornbeamscale.core.stream.EventId;
+import io.hornbeamscale.platform.CallPolicy;
+import io.hornbeamscale.platform.HttpKeyValueStore;
+import io.hornbeamscale.platform.KeyValueStore;
+import io.hornbeamscale.platform.PlatformIo;
 import io.hornbeamscale.wire.FrameLoop;
 import io.hornbeamscale.wire.message.End;
 import io.hornbeamscale.wire.message.Failed;
 import io.hornbeamscale.wire.message.Grant;
 import io.hornbeamscale.wire.message.Message;
 import io.hornbeamscale.wire.message.Refuse;
+import io.hornbeamscale.wire.message.Revoked;
 import io.hornbeamscale.wire.message.Status;
 import io.hornbeamscale.wire.message.Tokens;
 import io.undertow.Undertow;
@@ -48,6 +60,8 @@
     private static final Logger LOG = LogManager.getLogger("entry");
     private static final int HEADER_ROOM_BYTES = 1 << 20;
     private static final int IO_THREADS = 4;
+    private static final long CLAIM_RETENTION_MILLIS = LimitsSpec.defaults().claimRetentionMillis();
+    private static final long EPOCH_OFFSET_MILLIS = System.currentTimeMillis() - ControlLoop.now();
 
     private final EntrySettings settings;
     private final ReservationDispatcher dispatcher;
@@ -55,6 +69,8 @@
     private final ControlLoop control;
     private final FrameLoop frames;
     private final AgentLinks agents;
+    private final PlatformIo platform;
+    private final KeyValueStore store;
     private final EntryMetrics metrics = new EntryMetrics();
     private final Map<RequestId, Caller> callers = new HashMap<>();
     private volatile RequestReader reader = new RequestReader(Document.empty());
@@ -67,7 +83,15 @@
         DispatcherConfig config = DispatcherConfig.builder(new ZoneId(settings.zone()), new RegionId(settings.region()))
                 .build();
         this.dispatcher = new ReservationDispatcher(config, new SplittableRandom(Incarnations.next()));
-        this.controller = new EntryController(dispatcher);
+        long incarnation = Incarnations.next();
+        ClaimSettings claims = ClaimSettings.standard(CLAIM_RETENTION_MILLIS, EPOCH_OFFSET_MILLIS);
+        this.controller = new EntryController(
+                dispatcher,
+                new ClaimController(new NodeId(settings.node()), claims, new SplittableRandom(incarnation)));
+        this.platform = new PlatformIo(new SplittableRandom(incarnation + 1));
+        this.store = settings.store() == null
+                ? null
+                : new HttpKeyValueStore(platform, Addresses.of(settings.store()), CallPolicy.DEFAULT);
         this.control = new ControlLoop("entry", this::tick);
         this.frames = new FrameLoop("entry-frames");
         this.agents = new AgentLinks(settings.node(), Incarnations.next(), frames, control, this);
@@ -178,13 +202,16 @@
         }
         control.close();
         frames.close();
+        platform.close();
     }
 
     @Override
     public void received(BackendId backend, Message message) {
         long now = ControlLoop.now();
         if (message instanceof Tokens m) {
-            carryOut(controller.tokens(m.attemptId(), GenerationId.parse(m.generation()), m.offset(), m.texts(), now));
+            carryOut(controller
+                    .responses()
+                    .tokens(m.attemptId(), GenerationId.parse(m.generation()), m.offset(), m.texts(), now));
         } else if (message instanceof Grant m) {
             GrantId grant = new GrantId(m.incarnation(), m.sequence());
             carryOut(controller.granted(backend, m.attemptId(), grant, m.validMillis(), now));
@@ -192,14 +219,23 @@
             carryOut(controller.refused(backend, m.attemptId(), ErrorKind.ofCode(m.code()), m.retryAfterMillis(), now));
         } else if (message instanceof End m) {
             if (m.status() != 0) {
-                carryOut(controller.answered(m.attemptId(), m.status(), m.headers(), m.body(), now));
+                carryOut(controller.responses().answered(m.attemptId(), m.status(), m.headers(), m.body(), now));
             } else {
-                carryOut(controller.ended(
-                        m.attemptId(), GenerationId.parse(m.generation()), m.totalTokens(), m.finishReason(), now));
+                carryOut(controller
+                        .responses()
+                        .ended(
+                                m.attemptId(),
+                                GenerationId.parse(m.generation()),
+                                m.totalTokens(),
+                                m.finishReason(),
+                                now));
             }
         } else if (message instanceof Failed m) {
             RunOutcome outcome = outcome(m.outcome());
-            carryOut(controller.failed(m.attemptId(), ErrorKind.ofCode(m.code()), outcome, now));
+            carryOut(controller.responses().failed(m.attemptId(), ErrorKind.ofCode(m.code()), outcome, now));
+        } else if (message instanceof Revoked m) {
+            ClaimOwner holder = new ClaimOwner(m.attemptId(), backend, new GrantId(m.incarnation(), m.sequence()));
+            carryOut(controller.claims().revoked(holder, Messages.state(m), Messages.result(m), now));
         } else if (message instanceof Status m) {
             carryOut(controller.status(Messages.status(m), now));
         }
@@ -258,18 +294,37 @@
                 agents.send(a.backend(), Messages.of(a));
             } else if (action instanceof EntryAction.SendRevoke a) {
                 agents.send(a.backend(), Messages.of(a));
+            } else if (action instanceof EntryAction.CallStore a) {
+                callStore(a.call());
             } else {
                 answer(action);
             }
         }
     }
 
+    private void callStore(StoreCall call) {
+        if (store == null) {
+            control.execute(() -> storeReplied(call, new StoreReply.NoAnswer(call.key())));
+            return;
+        }
+        var unused = store.execute(call)
+                .exceptionally(e -> {
+                    StoreLogs.failed(call, e);
+                    return new StoreReply.NoAnswer(call.key());
+                })
+                .thenAccept(reply -> control.execute(() -> storeReplied(call, reply)));
+    }
+
+    private void storeReplied(StoreCall call, StoreReply reply) {
+        carryOut(controller.claims().storeReplied(call, reply, ControlLoop.now()));
+    }
+
     private void start(EntryAction.SendStart a, long now) {
         try {
             agents.send(a.backend(), Messages.of(a, now));
         } catch (ServingException e) {
             agents.send(a.backend(), Messages.of(new EntryAction.SendCancel(a.backend(), a.attempt())));
-            carryOut(controller.failed(a.attempt(), e.kind(), RunOutcome.NOT_RUN, now));
+            carryOut(controller.responses().failed(a.attempt(), e.kind(), RunOutcome.NOT_RUN, now));
         }
     }
 
--- a/daemon/src/main/java/io/hornbeamscale/daemon/Messages.java
+++ b/daemon/src/main/java/io/hornbeamscale/daemon/Messages.java
@@ -1,6 +1,8 @@
 package io.hornbeamscale.daemon;
 
 import io.hornbeamscale.core.agent.AgentAction;
+import io.hornbeamscale.core.attempt.AttemptState;
+import io.hornbeamscale.core.claim.ClaimResult;
 import io.hornbeamscale.core.entry.EntryAction;
 import io.hornbeamscale.core.id.AttemptId;
 import io.hornbeamscale.core.id.BackendId;
@@ -31,6 +33,8 @@
 
 /** Translates actions of the controllers into messages, and the values in messages into those of the core. */
 final class Messages {
+    private static final int MAX_RESULT_BYTES = 2_048;
+
     private Messages() {}
 
     static Reserve of(EntryAction.SendReserve a, long nowMillis) {
@@ -173,7 +177,10 @@
                     a.grant().incarnation(),
                     a.grant().sequence(),
                     a.neverStarted(),
-                    a.state());
+                    a.state(),
+                    a.status(),
+                    a.contentType(),
+                    a.body());
         }
         return null;
     }
@@ -208,6 +215,24 @@
                 new HashSet<>(m.cachedPrefixes()));
     }
 
+    /** Returns the state in an answer; a state that is unknown to this release counts as forgotten. */
+    static AttemptState state(Revoked m) {
+        for (AttemptState state : AttemptState.values()) {
+            if (state.name().equals(m.state())) {
+                boolean isPromised = m.neverStarted() || state != AttemptState.NEVER_STARTED;
+                return isPromised ? state : AttemptState.FORGOTTEN;
+            }
+        }
+        return AttemptState.FORGOTTEN;
+    }
+
+    /** Returns the result in an answer, null if the agent no longer holds it. */
+    static ClaimResult result(Revoked m) {
+        return m.status() == 0
+                ? null
+                : ClaimResult.of(m.status(), m.contentType(), m.body().bytes(), MAX_RESULT_BYTES);
+    }
+
     private static String request(AttemptId attempt) {
         return attempt.request().value();
     }
--- a/daemon/src/main/java/io/hornbeamscale/daemon/RequestReader.java
+++ b/daemon/src/main/java/io/hornbeamscale/daemon/RequestReader.java
@@ -4,6 +4,7 @@
 import com.fasterxml.jackson.databind.JsonNode;
 import com.fasterxml.jackson.databind.ObjectMapper;
 import com.fasterxml.jackson.databind.node.ObjectNode;
+import io.hornbeamscale.core.claim.ClaimNeed;
 import io.hornbeamscale.core.document.CustomerSpec;
 import io.hornbeamscale.core.document.Document;
 import io.hornbeamscale.core.document.DocumentIndex;
@@ -27,7 +28,6 @@
 import java.util.List;
 import java.util.Locale;
 import java.util.Map;
-import java.util.Set;
 
 /** Turns HTTP requests into requests of the core, under one document. */
 final class RequestReader {
@@ -37,7 +37,6 @@
     private static final int PREFIX_CHARS = 256;
     private static final int MAX_PREFIXES = 16;
     private static final int MAX_KEY_CHARS = 255;
-    private static final Set<String> SAFE_METHODS = Set.of("GET", "HEAD", "OPTIONS");
 
     private static final String SCHEME = "bearer ";
 
@@ -91,7 +90,7 @@
         Call call = new Call(
                 "POST", "/v1/completions", Map.of("content-type", "application/json"), Payload.of(write(json)));
         boolean mayRestart = "allow".equalsIgnoreCase(headers.getOrDefault("x-restart", ""));
-        return new EntryRequest(work, call, isStreaming, mayRestart, key(headers));
+        return new EntryRequest(work, call, isStreaming, mayRestart, key(headers), ClaimNeed.REPEATABLE);
     }
 
     /** Reads a plain call to a path below its service. */
@@ -111,6 +110,8 @@
                         ErrorKind.NOT_FOUND, "there is no plain service named '" + serviceName + "'"));
         checkAccess(service, customer);
         WorkKindSpec kind = kind(headers);
+        String key = key(headers);
+        ClaimNeed need = ClaimNeed.of(service, method, path, key);
         WorkItem work = new WorkItem(
                 id,
                 new ServiceId(service.name()),
@@ -122,29 +123,13 @@
                 List.of(),
                 nowMillis,
                 nowMillis + kind.maxWaitMillis(),
-                isRepeatable(service, method, path, headers),
+                need.isRepeatable(),
                 true,
                 false,
                 "");
         String target = query.isEmpty() ? path : path + "?" + query;
         Call call = new Call(method, target, HeaderRules.ofRequest(headers), Payload.of(body));
-        return new EntryRequest(work, call, false, false, key(headers));
-    }
-
-    private static boolean isRepeatable(ServiceSpec service, String method, String path, Map<String, String> headers) {
-        if (SAFE_METHODS.contains(method)) {
-            return true;
-        }
-        if (service.deduplicatesKeys() && headers.containsKey("idempotency-key")) {
-            return true;
-        }
-        for (String rule : service.nonIdempotent()) {
-            int space = rule.indexOf(' ');
-            if (space > 0 && rule.substring(0, space).equals(method) && path.startsWith(rule.substring(space + 1))) {
-                return false;
-            }
-        }
-        return !method.equals("POST") && !method.equals("PATCH");
+        return new EntryRequest(work, call, false, false, key, need);
     }
 
     private static ObjectNode parse(byte[] body) {
--- a/wire/src/main/java/io/hornbeamscale/wire/message/Revoked.java
+++ b/wire/src/main/java/io/hornbeamscale/wire/message/Revoked.java
@@ -2,6 +2,7 @@
 
 import com.fasterxml.jackson.annotation.JsonProperty;
 import io.hornbeamscale.core.util.Arguments;
+import io.hornbeamscale.core.work.Payload;
 
 /**
  * Answers a revocation.
@@ -12,6 +13,9 @@
  * @param sequence the sequence number of the grant
  * @param neverStarted whether the attempt has not started and never will
  * @param state the state of the attempt; null means empty
+ * @param status the HTTP status of the answer if the agent still holds it, 0 otherwise
+ * @param contentType the content type of the answer; null means empty
+ * @param body the body of the answer; null means empty
  */
 public record Revoked(
         @JsonProperty("r") String request,
@@ -19,12 +23,17 @@
         @JsonProperty("in") long incarnation,
         @JsonProperty("sq") long sequence,
         @JsonProperty("ns") boolean neverStarted,
-        @JsonProperty("st") String state)
+        @JsonProperty("st") String state,
+        @JsonProperty("sc") int status,
+        @JsonProperty("ct") String contentType,
+        @JsonProperty("bo") Payload body)
         implements AttemptMessage {
     /** Checks required fields and replaces missing optional ones. */
     public Revoked {
         Arguments.notBlank(request, "request");
         Arguments.positive(attempt, "attempt");
         state = state == null ? "" : state;
+        contentType = contentType == null ? "" : contentType;
+        body = body == null ? Payload.EMPTY : body;
     }
 }
