--- /dev/null
+++ b/core/src/main/java/io/hornbeamscale/core/entry/EntryAction.java
@@ -0,0 +1,158 @@
+package io.hornbeamscale.core.entry;
+
+import io.hornbeamscale.core.claim.ClaimAnswer;
+import io.hornbeamscale.core.claim.ClaimForward;
+import io.hornbeamscale.core.error.ErrorKind;
+import io.hornbeamscale.core.error.RunOutcome;
+import io.hornbeamscale.core.id.AttemptId;
+import io.hornbeamscale.core.id.BackendId;
+import io.hornbeamscale.core.id.CustomerId;
+import io.hornbeamscale.core.id.GenerationId;
+import io.hornbeamscale.core.id.GrantId;
+import io.hornbeamscale.core.id.NodeId;
+import io.hornbeamscale.core.id.RequestId;
+import io.hornbeamscale.core.store.StoreCall;
+import io.hornbeamscale.core.stream.EventId;
+import io.hornbeamscale.core.work.Call;
+import io.hornbeamscale.core.work.Payload;
+import io.hornbeamscale.core.work.WorkItem;
+import java.util.List;
+import java.util.Map;
+
+/** What an entry controller asks its daemon to do. */
+public sealed interface EntryAction {
+    /**
+     * Sends a reservation to an agent.
+     *
+     * @param backend the backend server
+     * @param attempt the attempt
+     * @param work the work
+     */
+    record SendReserve(BackendId backend, AttemptId attempt, WorkItem work) implements EntryAction {}
+
+    /**
+     * Withdraws a reservation or cancels a running attempt.
+     *
+     * @param backend the backend server
+     * @param attempt the attempt
+     */
+    record SendCancel(BackendId backend, AttemptId attempt) implements EntryAction {}
+
+    /**
+     * Hands a request over.
+     *
+     * @param backend the backend server
+     * @param attempt the attempt
+     * @param grant the grant to use
+     * @param call the call
+     * @param deadlineMillis when the deadline passes
+     * @param claimVersion the revision of the claim record, 0 if the call has no claim
+     */
+    record SendStart(
+            BackendId backend, AttemptId attempt, GrantId grant, Call call, long deadlineMillis, long claimVersion)
+            implements EntryAction {}
+
+    /**
+     * Acknowledges tokens.
+     *
+     * @param backend the backend server
+     * @param attempt the attempt
+     * @param generation the generation
+     * @param offset the number of tokens delivered
+     */
+    record SendAck(BackendId backend, AttemptId attempt, GenerationId generation, long offset) implements EntryAction {}
+
+    /**
+     * Asks an agent for tokens from an offset.
+     *
+     * @param backend the backend server
+     * @param attempt the attempt that the answering frames carry
+     * @param customer the customer that must own the generation
+     * @param generation the generation
+     * @param offset the first offset to send
+     */
+    record SendResume(BackendId backend, AttemptId attempt, CustomerId customer, GenerationId generation, long offset)
+            implements EntryAction {}
+
+    /**
+     * Asks an agent for the promise that an attempt never starts.
+     *
+     * @param backend the backend server
+     * @param attempt the attempt
+     * @param grant the grant of the attempt
+     * @param reason the reason
+     */
+    record SendRevoke(BackendId backend, AttemptId attempt, GrantId grant, String reason) implements EntryAction {}
+
+    /**
+     * Calls the store and passes the reply to the controller.
+     *
+     * @param call the call
+     */
+    record CallStore(StoreCall call) implements EntryAction {}
+
+    /**
+     * Sends a change of a claim to the entry that writes its partition.
+     *
+     * @param writer the entry
+     * @param forward the change
+     */
+    record SendClaimForward(NodeId writer, ClaimForward forward) implements EntryAction {}
+
+    /**
+     * Answers a forwarded change of a claim.
+     *
+     * @param entry the entry that asked
+     * @param answer the answer
+     */
+    record SendClaimAnswer(NodeId entry, ClaimAnswer answer) implements EntryAction {}
+
+    /**
+     * Delivers tokens to a streaming caller.
+     *
+     * @param request the request
+     * @param id the id of the last token
+     * @param texts the texts of the tokens
+     */
+    record Deliver(RequestId request, EventId id, List<String> texts) implements EntryAction {}
+
+    /**
+     * Tells a streaming caller that a new generation follows from offset 0.
+     *
+     * @param request the request
+     * @param lost the id up to which the lost generation was delivered
+     */
+    record Restart(RequestId request, EventId lost) implements EntryAction {}
+
+    /**
+     * Ends a complete generation.
+     *
+     * @param request the request
+     * @param id the id of the end
+     * @param texts the texts of all tokens, empty for streaming callers
+     * @param finishReason the finish reason
+     */
+    record Finish(RequestId request, EventId id, List<String> texts, String finishReason) implements EntryAction {}
+
+    /**
+     * Answers a plain call.
+     *
+     * @param request the request
+     * @param status the HTTP status
+     * @param headers the headers
+     * @param body the body
+     */
+    record Answer(RequestId request, int status, Map<String, String> headers, Payload body) implements EntryAction {}
+
+    /**
+     * Tells the caller that the request failed.
+     *
+     * @param request the request
+     * @param kind the error
+     * @param outcome what is known about the execution
+     * @param retryAfterMillis the advised pause in milliseconds, 0 for none
+     * @param offset the number of tokens delivered before the failure
+     */
+    record Fail(RequestId request, ErrorKind kind, RunOutcome outcome, long retryAfterMillis, long offset)
+            implements EntryAction {}
+}
--- /dev/null
+++ b/daemon/src/main/java/io/hornbeamscale/daemon/ControlLoop.java
@@ -0,0 +1,78 @@
+package io.hornbeamscale.daemon;
+
+import io.hornbeamscale.core.util.Arguments;
+import java.util.concurrent.BlockingQueue;
+import java.util.concurrent.LinkedBlockingQueue;
+import java.util.concurrent.TimeUnit;
+import org.apache.logging.log4j.LogManager;
+import org.apache.logging.log4j.Logger;
+
+/** The thread that runs the controllers of a process. I/O threads pass events to it. */
+final class ControlLoop implements AutoCloseable {
+    /** The pause between two ticks, in milliseconds. */
+    static final long TICK_MILLIS = 10;
+
+    private final Logger log;
+    private final BlockingQueue<Runnable> events = new LinkedBlockingQueue<>();
+    private final Runnable tick;
+    private final Thread thread;
+    private volatile boolean isClosed;
+
+    /**
+     * Creates a loop that is not started.
+     *
+     * @param component the component, which names thread and log lines
+     * @param tick runs on the control thread every {@link #TICK_MILLIS}
+     */
+    ControlLoop(String component, Runnable tick) {
+        this.log = LogManager.getLogger(component);
+        this.tick = Arguments.notNull(tick, "tick");
+        this.thread = new Thread(this::run, component + "-control");
+        thread.setDaemon(true);
+    }
+
+    /** Returns the time of the process's monotonic clock, in milliseconds. */
+    static long now() {
+        return TimeUnit.NANOSECONDS.toMillis(System.nanoTime());
+    }
+
+    void start() {
+        thread.start();
+    }
+
+    /** Runs an event on the control thread, after those passed before. */
+    void execute(Runnable event) {
+        events.add(event);
+    }
+
+    /** Returns the number of events that wait. */
+    int waiting() {
+        return events.size();
+    }
+
+    @Override
+    public void close() {
+        isClosed = true;
+        thread.interrupt();
+    }
+
+    private void run() {
+        long nextTick = now() + TICK_MILLIS;
+        while (!isClosed) {
+            try {
+                Runnable event = events.poll(Math.max(0, nextTick - now()), TimeUnit.MILLISECONDS);
+                if (event != null) {
+                    event.run();
+                }
+                if (now() >= nextTick) {
+                    nextTick = now() + TICK_MILLIS;
+                    tick.run();
+                }
+            } catch (InterruptedException e) {
+                return;
+            } catch (RuntimeException e) {
+                log.error("An event failed; the process goes on.", e);
+            }
+        }
+    }
+}
--- /dev/null
+++ b/daemon/src/main/java/io/hornbeamscale/daemon/EntryDaemon.java
@@ -0,0 +1,357 @@
+package io.hornbeamscale.daemon;
+
+import io.hornbeamscale.core.claim.ClaimController;
+import io.hornbeamscale.core.claim.ClaimOwner;
+import io.hornbeamscale.core.claim.ClaimSettings;
+import io.hornbeamscale.core.dispatch.BackendPlace;
+import io.hornbeamscale.core.dispatch.DispatcherConfig;
+import io.hornbeamscale.core.dispatch.ReservationDispatcher;
+import io.hornbeamscale.core.document.BackendSpec;
+import io.hornbeamscale.core.document.Document;
+import io.hornbeamscale.core.document.LimitsSpec;
+import io.hornbeamscale.core.entry.EntryAction;
+import io.hornbeamscale.core.entry.EntryController;
+import io.hornbeamscale.core.entry.EntryRequest;
+import io.hornbeamscale.core.error.ErrorAnswers;
+import io.hornbeamscale.core.error.ErrorKind;
+import io.hornbeamscale.core.error.RunOutcome;
+import io.hornbeamscale.core.error.ServingException;
+import io.hornbeamscale.core.id.BackendId;
+import io.hornbeamscale.core.id.CustomerId;
+import io.hornbeamscale.core.id.GenerationId;
+import io.hornbeamscale.core.id.GrantId;
+import io.hornbeamscale.core.id.NodeId;
+import io.hornbeamscale.core.id.RegionId;
+import io.hornbeamscale.core.id.RequestId;
+import io.hornbeamscale.core.id.ServiceId;
+import io.hornbeamscale.core.id.ZoneId;
+import io.hornbeamscale.core.store.StoreCall;
+import io.hornbeamscale.core.store.StoreReply;
+import io.hornbeamscale.core.stream.EventId;
+import io.hornbeamscale.platform.CallPolicy;
+import io.hornbeamscale.platform.HttpKeyValueStore;
+import io.hornbeamscale.platform.KeyValueStore;
+import io.hornbeamscale.platform.PlatformIo;
+import io.hornbeamscale.wire.FrameLoop;
+import io.hornbeamscale.wire.message.End;
+import io.hornbeamscale.wire.message.Failed;
+import io.hornbeamscale.wire.message.Grant;
+import io.hornbeamscale.wire.message.Message;
+import io.hornbeamscale.wire.message.Refuse;
+import io.hornbeamscale.wire.message.Revoked;
+import io.hornbeamscale.wire.message.Status;
+import io.hornbeamscale.wire.message.Tokens;
+import io.undertow.Undertow;
+import io.undertow.UndertowOptions;
+import io.undertow.server.HttpServerExchange;
+import java.net.InetSocketAddress;
+import java.util.ArrayList;
+import java.util.HashMap;
+import java.util.List;
+import java.util.Locale;
+import java.util.Map;
+import java.util.SplittableRandom;
+import org.apache.logging.log4j.LogManager;
+import org.apache.logging.log4j.Logger;
+import org.xnio.Options;
+
+/** The entry process: it accepts callers over HTTP and hands their requests to agents. */
+final class EntryDaemon implements AutoCloseable, AgentLinks.Events {
+    private static final Logger LOG = LogManager.getLogger("entry");
+    private static final int HEADER_ROOM_BYTES = 1 << 20;
+    private static final int IO_THREADS = 4;
+    private static final long CLAIM_RETENTION_MILLIS = LimitsSpec.defaults().claimRetentionMillis();
+    private static final long EPOCH_OFFSET_MILLIS = System.currentTimeMillis() - ControlLoop.now();
+
+    private final EntrySettings settings;
+    private final ReservationDispatcher dispatcher;
+    private final EntryController controller;
+    private final ControlLoop control;
+    private final FrameLoop frames;
+    private final AgentLinks agents;
+    private final PlatformIo platform;
+    private final KeyValueStore store;
+    private final EntryMetrics metrics = new EntryMetrics();
+    private final Map<RequestId, Caller> callers = new HashMap<>();
+    private volatile RequestReader reader = new RequestReader(Document.empty());
+    private volatile int openRequests;
+    private volatile int knownAgents;
+    private Undertow server;
+
+    EntryDaemon(EntrySettings settings) {
+        this.settings = settings;
+        DispatcherConfig config = DispatcherConfig.builder(new ZoneId(settings.zone()), new RegionId(settings.region()))
+                .build();
+        this.dispatcher = new ReservationDispatcher(config, new SplittableRandom(Incarnations.next()));
+        long incarnation = Incarnations.next();
+        ClaimSettings claims = ClaimSettings.standard(CLAIM_RETENTION_MILLIS, EPOCH_OFFSET_MILLIS);
+        this.controller = new EntryController(
+                dispatcher,
+                new ClaimController(new NodeId(settings.node()), claims, new SplittableRandom(incarnation)));
+        this.platform = new PlatformIo(new SplittableRandom(incarnation + 1));
+        this.store = settings.store() == null
+                ? null
+                : new HttpKeyValueStore(platform, Addresses.of(settings.store()), CallPolicy.DEFAULT);
+        this.control = new ControlLoop("entry", this::tick);
+        this.frames = new FrameLoop("entry-frames");
+        this.agents = new AgentLinks(settings.node(), Incarnations.next(), frames, control, this);
+    }
+
+    /** Starts the entry and returns the address for callers. */
+    InetSocketAddress start() {
+        control.start();
+        if (settings.document() != null) {
+            Document document = SettingsFiles.document(settings.document());
+            control.execute(() -> apply(document));
+        }
+        server = Undertow.builder()
+                .addHttpListener(
+                        settings.listen().getPort(),
+                        settings.listen().getAddress().getHostAddress(),
+                        new CallerHandler(this, settings.maxHeaderBytes()))
+                .setIoThreads(IO_THREADS)
+                .setWorkerThreads(1)
+                .setServerOption(UndertowOptions.MAX_HEADER_SIZE, HEADER_ROOM_BYTES)
+                .setServerOption(UndertowOptions.ALWAYS_SET_DATE, false)
+                .setSocketOption(Options.TCP_NODELAY, true)
+                .setSocketOption(Options.CONNECTION_HIGH_WATER, settings.maxConnections())
+                .setSocketOption(Options.CONNECTION_LOW_WATER, settings.maxConnections())
+                .build();
+        server.start();
+        InetSocketAddress address =
+                (InetSocketAddress) server.getListenerInfo().get(0).getAddress();
+        LOG.info("Entry {} listens on {}.", settings.node(), Addresses.format(address));
+        return address;
+    }
+
+    /** Puts a document in force. Runs on the control thread. */
+    void apply(Document document) {
+        reader = new RequestReader(document);
+        List<BackendPlace> places = new ArrayList<>();
+        Map<BackendId, InetSocketAddress> addresses = new HashMap<>();
+        for (BackendSpec spec : document.backends()) {
+            BackendId backend = new BackendId(spec.name());
+            places.add(new BackendPlace(
+                    backend,
+                    new ServiceId(spec.service()),
+                    spec.model(),
+                    new ZoneId(spec.zone()),
+                    new RegionId(spec.region())));
+            addresses.put(backend, Addresses.parse(spec.address()));
+        }
+        long now = ControlLoop.now();
+        carryOut(controller.watch(places, now));
+        agents.watch(addresses);
+    }
+
+    RequestReader reader() {
+        return reader;
+    }
+
+    EntryMetrics metrics() {
+        return metrics;
+    }
+
+    /** Passes a request to the control thread. */
+    void submit(EntryRequest request, HttpServerExchange exchange) {
+        RequestId id = request.work().request();
+        Caller caller = new Caller(
+                id,
+                new CallerExchange(exchange),
+                request.isStreaming(),
+                request.work().model(),
+                request.work().promptTokens());
+        watch(id, exchange);
+        control.execute(() -> {
+            callers.put(id, caller);
+            metrics.countRequest();
+            carryOut(controller.submit(request, ControlLoop.now()));
+        });
+    }
+
+    /** Passes the resumption of a stream to the control thread. */
+    void resume(RequestId id, CustomerId customer, EventId last, HttpServerExchange exchange) {
+        Caller caller = new Caller(id, new CallerExchange(exchange), true, "", 0);
+        watch(id, exchange);
+        control.execute(() -> {
+            callers.put(id, caller);
+            metrics.countRequest();
+            carryOut(controller.resume(id, customer, last, ControlLoop.now()));
+        });
+    }
+
+    /** Refuses new requests from now on. */
+    void drain() {
+        control.execute(() -> carryOut(controller.drain(ControlLoop.now())));
+    }
+
+    /** Returns the number of requests that wait or run, as of the last tick. */
+    int openRequests() {
+        return openRequests;
+    }
+
+    /** Returns the number of connected agents that have sent their status, as of the last tick. */
+    int knownAgents() {
+        return knownAgents;
+    }
+
+    @Override
+    public void close() {
+        if (server != null) {
+            server.stop();
+        }
+        control.close();
+        frames.close();
+        platform.close();
+    }
+
+    @Override
+    public void received(BackendId backend, Message message) {
+        long now = ControlLoop.now();
+        if (message instanceof Tokens m) {
+            carryOut(controller
+                    .responses()
+                    .tokens(m.attemptId(), GenerationId.parse(m.generation()), m.offset(), m.texts(), now));
+        } else if (message instanceof Grant m) {
+            GrantId grant = new GrantId(m.incarnation(), m.sequence());
+            carryOut(controller.granted(backend, m.attemptId(), grant, m.validMillis(), now));
+        } else if (message instanceof Refuse m) {
+            carryOut(controller.refused(backend, m.attemptId(), ErrorKind.ofCode(m.code()), m.retryAfterMillis(), now));
+        } else if (message instanceof End m) {
+            if (m.status() != 0) {
+                carryOut(controller.responses().answered(m.attemptId(), m.status(), m.headers(), m.body(), now));
+            } else {
+                carryOut(controller
+                        .responses()
+                        .ended(
+                                m.attemptId(),
+                                GenerationId.parse(m.generation()),
+                                m.totalTokens(),
+                                m.finishReason(),
+                                now));
+            }
+        } else if (message instanceof Failed m) {
+            RunOutcome outcome = outcome(m.outcome());
+            carryOut(controller.responses().failed(m.attemptId(), ErrorKind.ofCode(m.code()), outcome, now));
+        } else if (message instanceof Revoked m) {
+            ClaimOwner holder = new ClaimOwner(m.attemptId(), backend, new GrantId(m.incarnation(), m.sequence()));
+            carryOut(controller.claims().revoked(holder, Messages.state(m), Messages.result(m), now));
+        } else if (message instanceof Status m) {
+            carryOut(controller.status(Messages.status(m), now));
+        }
+    }
+
+    @Override
+    public void lost(BackendId backend) {
+        carryOut(controller.lost(backend, ControlLoop.now()));
+    }
+
+    private static RunOutcome outcome(String code) {
+        try {
+            return RunOutcome.valueOf(code.toUpperCase(Locale.ROOT));
+        } catch (IllegalArgumentException e) {
+            // A newer release may send outcomes that are unknown here.
+            return RunOutcome.UNKNOWN;
+        }
+    }
+
+    private void watch(RequestId id, HttpServerExchange exchange) {
+        exchange.getConnection().addCloseListener(connection -> control.execute(() -> gone(id)));
+    }
+
+    private void gone(RequestId id) {
+        if (callers.remove(id) != null) {
+            metrics.countGone();
+            carryOut(controller.callerGone(id, ControlLoop.now()));
+        }
+    }
+
+    private void tick() {
+        carryOut(controller.tick(ControlLoop.now()));
+        agents.tick(ControlLoop.now());
+        openRequests = callers.size();
+        knownAgents = agents.known();
+    }
+
+    private void carryOut(List<EntryAction> actions) {
+        long now = ControlLoop.now();
+        for (EntryAction action : actions) {
+            if (action instanceof EntryAction.Deliver a) {
+                Caller caller = callers.get(a.request());
+                if (caller != null) {
+                    metrics.countTokens(a.texts().size());
+                    caller.deliver(a);
+                }
+            } else if (action instanceof EntryAction.SendAck a) {
+                agents.send(a.backend(), Messages.of(a));
+            } else if (action instanceof EntryAction.SendReserve a) {
+                agents.send(a.backend(), Messages.of(a, now));
+            } else if (action instanceof EntryAction.SendCancel a) {
+                agents.send(a.backend(), Messages.of(a));
+            } else if (action instanceof EntryAction.SendStart a) {
+                start(a, now);
+            } else if (action instanceof EntryAction.SendResume a) {
+                agents.send(a.backend(), Messages.of(a));
+            } else if (action instanceof EntryAction.SendRevoke a) {
+                agents.send(a.backend(), Messages.of(a));
+            } else if (action instanceof EntryAction.CallStore a) {
+                callStore(a.call());
+            } else {
+                answer(action);
+            }
+        }
+    }
+
+    private void callStore(StoreCall call) {
+        if (store == null) {
+            control.execute(() -> storeReplied(call, new StoreReply.NoAnswer(call.key())));
+            return;
+        }
+        var unused = store.execute(call)
+                .exceptionally(e -> {
+                    StoreLogs.failed(call, e);
+                    return new StoreReply.NoAnswer(call.key());
+                })
+                .thenAccept(reply -> control.execute(() -> storeReplied(call, reply)));
+    }
+
+    private void storeReplied(StoreCall call, StoreReply reply) {
+        carryOut(controller.claims().storeReplied(call, reply, ControlLoop.now()));
+    }
+
+    private void start(EntryAction.SendStart a, long now) {
+        try {
+            agents.send(a.backend(), Messages.of(a, now));
+        } catch (ServingException e) {
+            agents.send(a.backend(), Messages.of(new EntryAction.SendCancel(a.backend(), a.attempt())));
+            carryOut(controller.responses().failed(a.attempt(), e.kind(), RunOutcome.NOT_RUN, now));
+        }
+    }
+
+    private void answer(EntryAction action) {
+        if (action instanceof EntryAction.Finish a) {
+            Caller caller = callers.remove(a.request());
+            if (caller != null) {
+                metrics.countFinished();
+                caller.finish(a);
+            }
+        } else if (action instanceof EntryAction.Answer a) {
+            Caller caller = callers.remove(a.request());
+            if (caller != null) {
+                metrics.countFinished();
+                caller.answer(a);
+            }
+        } else if (action instanceof EntryAction.Restart a) {
+            Caller caller = callers.get(a.request());
+            if (caller != null) {
+                caller.restart(a);
+            }
+        } else if (action instanceof EntryAction.Fail a) {
+            metrics.countError(a.kind());
+            Caller caller = callers.remove(a.request());
+            if (caller != null) {
+                caller.fail(a, ErrorAnswers.of(a.kind()).httpStatus());
+            }
+        }
+    }
+}
--- /dev/null
+++ b/daemon/src/main/java/io/hornbeamscale/daemon/Logs.java
@@ -0,0 +1,35 @@
+package io.hornbeamscale.daemon;
+
+import org.apache.logging.log4j.Level;
+import org.apache.logging.log4j.core.appender.ConsoleAppender;
+import org.apache.logging.log4j.core.config.Configurator;
+import org.apache.logging.log4j.core.config.builder.api.AppenderComponentBuilder;
+import org.apache.logging.log4j.core.config.builder.api.ConfigurationBuilder;
+import org.apache.logging.log4j.core.config.builder.api.ConfigurationBuilderFactory;
+import org.apache.logging.log4j.core.config.builder.impl.BuiltConfiguration;
+
+/** Sets up log lines. The name of a logger is its component, which appears as the prefix. */
+final class Logs {
+    private static final String PATTERN = "%d{ISO8601} %-5level [%c{1}] %msg%n%throwable";
+
+    private Logs() {}
+
+    /** Logs to the standard error stream, as {@code text} or as {@code json}. */
+    static void configure(String form) {
+        ConfigurationBuilder<BuiltConfiguration> builder = ConfigurationBuilderFactory.newConfigurationBuilder();
+        AppenderComponentBuilder appender =
+                builder.newAppender("console", "Console").addAttribute("target", ConsoleAppender.Target.SYSTEM_ERR);
+        if (form.equals("json")) {
+            appender.add(builder.newLayout("JsonTemplateLayout")
+                    .addAttribute("eventTemplateUri", "classpath:EcsLayout.json"));
+        } else {
+            appender.add(builder.newLayout("PatternLayout").addAttribute("pattern", PATTERN));
+        }
+        builder.add(appender);
+        for (String quiet : new String[] {"io.undertow", "org.xnio", "org.jboss"}) {
+            builder.add(builder.newLogger(quiet, Level.WARN));
+        }
+        builder.add(builder.newRootLogger(Level.INFO).add(builder.newAppenderRef("console")));
+        Configurator.reconfigure(builder.build(false));
+    }
+}
--- /dev/null
+++ b/wire/src/main/java/io/hornbeamscale/wire/message/Hello.java
@@ -0,0 +1,30 @@
+package io.hornbeamscale.wire.message;
+
+import com.fasterxml.jackson.annotation.JsonProperty;
+import io.hornbeamscale.core.util.Arguments;
+
+/**
+ * Introduces a process on a new connection.
+ *
+ * @param node the node id, not blank
+ * @param role the role, {@code entry} or {@code agent}, not blank
+ * @param incarnation the incarnation of the process
+ * @param protocol the greatest protocol version that the sender speaks
+ * @param configVersion the version of the document in force, 0 if none
+ * @param address host and port where the sender accepts frames, empty if it does not; null means empty
+ */
+public record Hello(
+        @JsonProperty("n") String node,
+        @JsonProperty("ro") String role,
+        @JsonProperty("in") long incarnation,
+        @JsonProperty("p") int protocol,
+        @JsonProperty("cv") long configVersion,
+        @JsonProperty("ad") String address)
+        implements Message {
+    /** Checks required fields and replaces missing optional ones. */
+    public Hello {
+        Arguments.notBlank(node, "node");
+        Arguments.notBlank(role, "role");
+        address = address == null ? "" : address;
+    }
+}
--- /dev/null
+++ b/wire/src/main/java/io/hornbeamscale/wire/message/Quarantine.java
@@ -0,0 +1,18 @@
+package io.hornbeamscale.wire.message;
+
+import com.fasterxml.jackson.annotation.JsonProperty;
+
+/**
+ * Shares suspicions and convictions.
+ *
+ * @param kind the kind of the exchange; null means empty
+ * @param content the content as JSON; null means empty
+ */
+public record Quarantine(
+        @JsonProperty("k") String kind, @JsonProperty("x") String content) implements Message {
+    /** Checks required fields and replaces missing optional ones. */
+    public Quarantine {
+        kind = kind == null ? "" : kind;
+        content = content == null ? "" : content;
+    }
+}
--- /dev/null
+++ b/wire/src/main/java/io/hornbeamscale/wire/message/Started.java
@@ -0,0 +1,23 @@
+package io.hornbeamscale.wire.message;
+
+import com.fasterxml.jackson.annotation.JsonProperty;
+import io.hornbeamscale.core.util.Arguments;
+
+/**
+ * Confirms a start.
+ *
+ * @param request the request, not blank
+ * @param attempt the number of the attempt, from 1
+ * @param generation the generation, not blank
+ */
+public record Started(
+        @JsonProperty("r") String request,
+        @JsonProperty("a") int attempt,
+        @JsonProperty("g") String generation) implements AttemptMessage {
+    /** Checks required fields and replaces missing optional ones. */
+    public Started {
+        Arguments.notBlank(request, "request");
+        Arguments.positive(attempt, "attempt");
+        Arguments.notBlank(generation, "generation");
+    }
+}
