--- /dev/null
+++ b/measure/src/main/java/io/hornbeamscale/measure/capacity/EntryProbes.java
@@ -0,0 +1,146 @@
+package io.hornbeamscale.measure.capacity;
+
+import io.hornbeamscale.core.dispatch.DispatchAction;
+import io.hornbeamscale.core.dispatch.ReservationDispatcher;
+import io.hornbeamscale.core.id.AttemptId;
+import io.hornbeamscale.core.id.GenerationId;
+import io.hornbeamscale.core.id.GrantId;
+import io.hornbeamscale.core.id.NodeId;
+import io.hornbeamscale.core.id.RequestId;
+import io.hornbeamscale.core.membership.MembershipView;
+import io.hornbeamscale.core.membership.VmRecord;
+import io.hornbeamscale.core.stream.DeliveryMode;
+import io.hornbeamscale.core.stream.StreamAssembler;
+import java.util.ArrayList;
+import java.util.List;
+import java.util.Random;
+import java.util.function.Supplier;
+
+/** Slopes of the entry's controllers. */
+final class EntryProbes {
+    private static final List<Integer> BACKENDS = List.of(16, 32, 64, 128);
+    private static final List<Integer> REQUESTS = List.of(1_000, 2_000, 4_000);
+    private static final List<Integer> NODES = List.of(240, 480, 960);
+    private static final int OPERATIONS = 20_000;
+    private static final int MAX_QUEUED = 100_000;
+    private static final long GRANT_MILLIS = 1_000;
+
+    private EntryProbes() {}
+
+    static List<Slope> all() {
+        return List.of(
+                Meter.heap("entry, per watched backend server", BACKENDS, n -> Fixtures.dispatcher(n, MAX_QUEUED, 0)),
+                Meter.heap("entry, per waiting request", REQUESTS, EntryProbes::waiting),
+                Meter.heap("entry, per open stream (assembler)", REQUESTS, EntryProbes::streams),
+                Meter.heap("any node, per member", NODES, EntryProbes::members),
+                Meter.time("entry, request through the dispatcher, by watched servers", BACKENDS, EntryProbes::request),
+                Meter.time("entry, status of a backend server, by watched servers", BACKENDS, EntryProbes::status),
+                Meter.time("entry, tick, by waiting requests", REQUESTS, EntryProbes::tick),
+                Meter.time("any node, VM list of that many nodes", NODES, EntryProbes::list));
+    }
+
+    private static Object waiting(int requests) {
+        ReservationDispatcher dispatcher = Fixtures.dispatcher(32, MAX_QUEUED, 0);
+        for (int i = 0; i < requests; i++) {
+            dispatcher.submit(Fixtures.work(i, 0), 0);
+        }
+        return dispatcher;
+    }
+
+    private static Object streams(int count) {
+        List<StreamAssembler> streams = new ArrayList<>();
+        for (int i = 0; i < count; i++) {
+            StreamAssembler stream = new StreamAssembler(DeliveryMode.STREAM, true);
+            AttemptId attempt = new AttemptId(new RequestId("entry-101-" + i), 1);
+            GenerationId generation = new GenerationId(Fixtures.backend(i % 32), 1, i);
+            stream.handedOver(attempt, generation, 0);
+            stream.tokens(attempt, generation, 0, List.of(" token"), 0);
+            streams.add(stream);
+        }
+        return streams;
+    }
+
+    private static Object members(int nodes) {
+        MembershipView view = new MembershipView(vm(0), 1, new Random(Fixtures.SEED));
+        view.listed(vms(nodes), 0);
+        return view;
+    }
+
+    private static Supplier<Integer> list(int nodes) {
+        MembershipView view = new MembershipView(vm(0), 1, new Random(Fixtures.SEED));
+        List<VmRecord> vms = vms(nodes);
+        long[] now = {0};
+        return () -> {
+            for (int i = 0; i < 100; i++) {
+                now[0] += MembershipView.LIST_PERIOD_MILLIS;
+                view.listed(vms, now[0]);
+            }
+            return 100;
+        };
+    }
+
+    private static Supplier<Integer> request(int backends) {
+        ReservationDispatcher dispatcher = Fixtures.dispatcher(backends, MAX_QUEUED, 0);
+        int[] next = {0};
+        return () -> {
+            for (int i = 0; i < OPERATIONS; i++) {
+                runOne(dispatcher, next[0]++);
+            }
+            return OPERATIONS;
+        };
+    }
+
+    private static void runOne(ReservationDispatcher dispatcher, int number) {
+        long now = number;
+        for (DispatchAction action : dispatcher.submit(Fixtures.work(number, now), now)) {
+            if (action instanceof DispatchAction.SendReserve reserve) {
+                GrantId grant = new GrantId(1, number);
+                dispatcher.granted(reserve.backend(), reserve.attempt(), grant, GRANT_MILLIS, now);
+                dispatcher.tokens(reserve.attempt(), 1, now);
+                dispatcher.ended(reserve.attempt(), now);
+                return;
+            }
+        }
+        throw new IllegalStateException("the dispatcher reserved nothing for request " + number);
+    }
+
+    private static Supplier<Integer> status(int backends) {
+        ReservationDispatcher dispatcher = Fixtures.dispatcher(backends, MAX_QUEUED, 0);
+        int[] next = {0};
+        return () -> {
+            for (int i = 0; i < OPERATIONS; i++) {
+                int number = next[0]++;
+                dispatcher.status(Fixtures.status(number % backends, number % 32), number);
+            }
+            return OPERATIONS;
+        };
+    }
+
+    private static Supplier<Integer> tick(int requests) {
+        ReservationDispatcher dispatcher = (ReservationDispatcher) waiting(requests);
+        return () -> {
+            for (int i = 0; i < 1_000; i++) {
+                dispatcher.tick(1);
+            }
+            return 1_000;
+        };
+    }
+
+    private static List<VmRecord> vms(int nodes) {
+        List<VmRecord> vms = new ArrayList<>();
+        for (int i = 0; i < nodes; i++) {
+            vms.add(vm(i));
+        }
+        return vms;
+    }
+
+    private static VmRecord vm(int number) {
+        return new VmRecord(
+                new NodeId("entry-" + number),
+                "entry",
+                "10.0." + number / 250 + "." + number % 250 + ":7000",
+                Fixtures.REGION,
+                Fixtures.ZONE,
+                false);
+    }
+}
--- /dev/null
+++ b/measure/src/main/java/io/hornbeamscale/measure/capacity/FrameProbes.java
@@ -0,0 +1,93 @@
+package io.hornbeamscale.measure.capacity;
+
+import io.hornbeamscale.wire.MessageCodec;
+import io.hornbeamscale.wire.message.Grant;
+import io.hornbeamscale.wire.message.Message;
+import io.hornbeamscale.wire.message.Reserve;
+import io.hornbeamscale.wire.message.Status;
+import io.hornbeamscale.wire.message.Tokens;
+import java.util.ArrayList;
+import java.util.Collections;
+import java.util.List;
+import java.util.function.Supplier;
+
+/** Sizes of frames and the processor time to encode and decode them. */
+final class FrameProbes {
+    private static final int HEADER_BYTES = 4;
+    private static final List<Integer> TOKENS = List.of(1, 8, 32);
+    private static final List<Integer> PREFIXES = List.of(0, 16, 64);
+    private static final int OPERATIONS = 20_000;
+
+    private FrameProbes() {}
+
+    static List<Slope> all() {
+        return List.of(
+                size("frame Tokens, by tokens", TOKENS, FrameProbes::tokens),
+                size("frame Status, by cached prefixes", PREFIXES, FrameProbes::status),
+                size("frame Reserve, by prefix hashes", PREFIXES, FrameProbes::reserve),
+                size("frame Grant", PREFIXES, n -> new Grant("entry-101-123456", 1, 1_764_800_000_000L, 12_345, 1_000)),
+                Meter.time("encode and decode Tokens, by tokens", TOKENS, n -> round(tokens(n))),
+                Meter.time("encode and decode Status, by cached prefixes", PREFIXES, n -> round(status(n))),
+                Meter.time("encode and decode Reserve, by prefix hashes", PREFIXES, n -> round(reserve(n))));
+    }
+
+    private static Slope size(String name, List<Integer> sizes, java.util.function.IntFunction<Message> build) {
+        List<Double> figures = new ArrayList<>();
+        for (int n : sizes) {
+            figures.add((double) HEADER_BYTES + MessageCodec.encode(build.apply(n)).length);
+        }
+        return Slope.fit(name, "bytes", sizes, figures);
+    }
+
+    private static Supplier<Integer> round(Message message) {
+        return () -> {
+            for (int i = 0; i < OPERATIONS; i++) {
+                byte[] bytes = MessageCodec.encode(message);
+                if (MessageCodec.decode(bytes).isEmpty()) {
+                    throw new IllegalStateException("the codec lost " + message);
+                }
+            }
+            return OPERATIONS;
+        };
+    }
+
+    private static Message tokens(int count) {
+        return new Tokens(
+                "entry-101-123456", 1, "runner-17.1764800000000.12345", 321, Collections.nCopies(count, " word"));
+    }
+
+    private static Message status(int prefixes) {
+        return new Status(
+                "runner-17",
+                1_764_800_000_000L,
+                400_000,
+                213_000,
+                48,
+                12,
+                150,
+                27.5,
+                false,
+                1_234,
+                List.of(),
+                Collections.nCopies(prefixes, 0x1234_5678_9abc_def0L));
+    }
+
+    private static Message reserve(int prefixes) {
+        return new Reserve(
+                "entry-101-123456",
+                1,
+                "service-1",
+                "customer-17",
+                "interactive",
+                5,
+                200,
+                1_000,
+                Collections.nCopies(prefixes, 0x1234_5678_9abc_def0L),
+                10,
+                60_000,
+                true,
+                false,
+                false,
+                "model-1");
+    }
+}
