--- /dev/null
+++ b/daemon/src/main/java/io/hornbeamscale/daemon/AgentDaemon.java
@@ -0,0 +1,430 @@
+package io.hornbeamscale.daemon;
+
+import com.fasterxml.jackson.databind.JsonNode;
+import io.hornbeamscale.core.agent.AgentAction;
+import io.hornbeamscale.core.agent.AgentController;
+import io.hornbeamscale.core.attempt.AttemptLedger;
+import io.hornbeamscale.core.attempt.LedgerLimits;
+import io.hornbeamscale.core.error.ErrorKind;
+import io.hornbeamscale.core.error.RunOutcome;
+import io.hornbeamscale.core.id.BackendId;
+import io.hornbeamscale.core.id.CustomerId;
+import io.hornbeamscale.core.id.GenerationId;
+import io.hornbeamscale.core.id.GrantId;
+import io.hornbeamscale.core.id.NodeId;
+import io.hornbeamscale.core.schedule.MemoryScheduler;
+import io.hornbeamscale.core.schedule.SchedulerConfig;
+import io.hornbeamscale.core.stream.RetentionBuffer;
+import io.hornbeamscale.core.stream.RetentionLimits;
+import io.hornbeamscale.core.stream.StreamReader;
+import io.hornbeamscale.core.work.Call;
+import io.hornbeamscale.core.work.EngineLoad;
+import io.hornbeamscale.core.work.Payload;
+import io.hornbeamscale.core.work.Reservation;
+import io.hornbeamscale.wire.FrameConnection;
+import io.hornbeamscale.wire.FrameListener;
+import io.hornbeamscale.wire.FrameLoop;
+import io.hornbeamscale.wire.MessageCodec;
+import io.hornbeamscale.wire.message.Ack;
+import io.hornbeamscale.wire.message.AttemptMessage;
+import io.hornbeamscale.wire.message.CancelReservation;
+import io.hornbeamscale.wire.message.Hello;
+import io.hornbeamscale.wire.message.Message;
+import io.hornbeamscale.wire.message.Reserve;
+import io.hornbeamscale.wire.message.Resume;
+import io.hornbeamscale.wire.message.Revoke;
+import io.hornbeamscale.wire.message.Start;
+import java.net.InetSocketAddress;
+import java.util.HashMap;
+import java.util.LinkedHashMap;
+import java.util.List;
+import java.util.Map;
+import org.apache.logging.log4j.LogManager;
+import org.apache.logging.log4j.Logger;
+import org.xnio.XnioWorker;
+
+/** The agent process: it accepts frames of entries and runs their calls on the backend server beside it. */
+final class AgentDaemon implements AutoCloseable {
+    private static final Logger LOG = LogManager.getLogger("agent");
+    private static final long STATUS_MILLIS = 250;
+    private static final long LOAD_MILLIS = 500;
+    private static final int MAX_REATTACHES = 3;
+    private static final char TAG_SEPARATOR = '~';
+
+    private final AgentSettings settings;
+    private final long incarnation = Incarnations.next();
+    private final BackendId backend;
+    private final AgentController controller;
+    private final ControlLoop control;
+    private final FrameLoop frames;
+    private final XnioWorker worker;
+    private final EngineClient engine;
+    private final Map<NodeId, FrameConnection> entries = new HashMap<>();
+    private final Map<GenerationId, CallState> calls = new LinkedHashMap<>();
+    private InetSocketAddress address;
+    private long nextStatusMillis;
+    private long nextLoadMillis;
+    private boolean isDraining;
+
+    AgentDaemon(AgentSettings settings) {
+        this.settings = settings;
+        this.backend = new BackendId(settings.backend());
+        SchedulerConfig config = SchedulerConfig.builder(backend, incarnation)
+                .capacityTokens(settings.isPlain() ? 0 : settings.memoryTokens())
+                .maxRunning(settings.maxRunning())
+                .build();
+        this.controller = new AgentController(
+                backend,
+                new MemoryScheduler(config),
+                new AttemptLedger(incarnation, LedgerLimits.standard()),
+                new RetentionBuffer(RetentionLimits.standard(), !settings.isPlain()));
+        this.control = new ControlLoop("agent", this::tick);
+        this.frames = new FrameLoop("agent-frames");
+        this.worker = Workers.create("agent-io");
+        this.engine = new EngineClient(settings.server(), worker, new Events());
+    }
+
+    /** Starts the agent and returns the address for entries. */
+    InetSocketAddress start() {
+        control.start();
+        if (!settings.isPlain()) {
+            control.execute(this::rebuild);
+        }
+        address = frames.listen(settings.listen(), EntryLink::new);
+        LOG.info("Agent of {} listens on {}, incarnation {}.", backend, Addresses.format(address), incarnation);
+        return address;
+    }
+
+    /** Stops new work; the process may end once {@link #isIdle} returns true. */
+    void drain() {
+        control.execute(() -> {
+            isDraining = true;
+            carryOut(controller.drain(ControlLoop.now()));
+            nextStatusMillis = 0;
+        });
+    }
+
+    /** Returns whether nothing runs and every response has been received. */
+    boolean isIdle() {
+        return controller.runningCalls() == 0 && controller.unacknowledged() == 0;
+    }
+
+    @Override
+    public void close() {
+        control.close();
+        frames.close();
+        worker.shutdownNow();
+    }
+
+    private void tick() {
+        long now = ControlLoop.now();
+        carryOut(controller.tick(now));
+        if (now >= nextStatusMillis) {
+            nextStatusMillis = now + STATUS_MILLIS;
+            Message status = Messages.of(controller.status(now), 0);
+            entries.values().forEach(link -> link.send(status));
+        }
+        if (!settings.isPlain() && now >= nextLoadMillis) {
+            nextLoadMillis = now + LOAD_MILLIS;
+            engine.get("/load", node -> control.execute(() -> load(node)));
+        }
+    }
+
+    private void load(JsonNode node) {
+        if (node == null) {
+            return;
+        }
+        long now = ControlLoop.now();
+        EngineLoad load = new EngineLoad(
+                now - node.path("ageMillis").asLong(),
+                node.path("usedTokens").asLong(),
+                node.path("running").asInt(),
+                node.path("preemptions").asLong());
+        carryOut(controller.load(load, now));
+    }
+
+    /** Asks the engine for the streams of an earlier incarnation. */
+    private void rebuild() {
+        engine.get(
+                "/v1/streams",
+                node -> control.execute(() -> {
+                    long now = ControlLoop.now();
+                    if (node != null) {
+                        node.path("streams").forEach(stream -> found(stream, now));
+                    }
+                    carryOut(controller.rebuilt(now));
+                }));
+    }
+
+    private void found(JsonNode stream, long now) {
+        String tag = stream.path("request_id").asText();
+        int split = tag.indexOf(TAG_SEPARATOR);
+        if (split < 0) {
+            return;
+        }
+        try {
+            GenerationId generation = GenerationId.parse(tag.substring(0, split));
+            if (generation.backend().equals(backend) && !calls.containsKey(generation)) {
+                calls.put(generation, new CallState(true, stream.path("id").asText()));
+                carryOut(controller.engineHolds(generation, new CustomerId(tag.substring(split + 1)), now));
+            }
+        } catch (IllegalArgumentException e) {
+            LOG.warn("The engine holds a stream that is not ours: {}.", tag);
+        }
+    }
+
+    private void carryOut(List<AgentAction> actions) {
+        for (AgentAction action : actions) {
+            if (action instanceof AgentAction.StartCall a) {
+                startCall(a);
+            } else if (action instanceof AgentAction.CancelCall a) {
+                CallState state = calls.remove(a.generation());
+                engine.cancel(a.generation(), state == null ? null : state.engineId);
+            } else if (action instanceof AgentAction.ReattachCall a) {
+                CallState state = calls.get(a.generation());
+                if (state != null && state.engineId != null) {
+                    engine.reattach(a.generation(), state.engineId, a.offset());
+                }
+            } else {
+                send(action);
+            }
+        }
+    }
+
+    private void startCall(AgentAction.StartCall a) {
+        boolean isModel = !a.work().isPlain();
+        CallState state = new CallState(a.work().isRepeatable(), null);
+        state.tag = a.generation().toString() + TAG_SEPARATOR + a.work().customer();
+        calls.put(a.generation(), state);
+        if (isModel) {
+            engine.generate(a.generation(), state.tag, a.call());
+        } else {
+            engine.plain(a.generation(), a.call(), a.work().isRepeatable());
+        }
+    }
+
+    private void send(AgentAction action) {
+        Message message = Messages.of(action);
+        FrameConnection link = message == null ? null : entries.get(EntryOf.action(action));
+        if (link != null) {
+            link.send(message);
+        }
+    }
+
+    private void received(NodeId entry, Message message) {
+        long now = ControlLoop.now();
+        if (message instanceof Reserve m) {
+            carryOut(controller.reserve(new Reservation(m.attemptId(), entry, Messages.work(m, now)), now));
+        } else if (message instanceof CancelReservation m) {
+            carryOut(controller.cancel(entry, m.attemptId(), now));
+        } else if (message instanceof Start m) {
+            Call call = new Call(m.method(), m.path(), m.headers(), m.body());
+            GrantId grant = new GrantId(m.incarnation(), m.sequence());
+            carryOut(controller.start(entry, m.attemptId(), grant, call, now));
+        } else if (message instanceof Ack m) {
+            carryOut(controller.acknowledged(GenerationId.parse(m.generation()), m.offset(), now));
+        } else if (message instanceof Resume m) {
+            StreamReader reader = new StreamReader(entry, m.attemptId());
+            GenerationId generation = GenerationId.parse(m.generation());
+            carryOut(controller.resume(reader, new CustomerId(m.customer()), generation, m.offset(), now));
+        } else if (message instanceof Revoke m) {
+            GrantId grant = new GrantId(m.incarnation(), m.sequence());
+            carryOut(controller.revoke(entry, m.attemptId(), grant, now));
+        } else if (message instanceof AttemptMessage) {
+            LOG.warn("An entry sent a message that only agents send.");
+        }
+    }
+
+    private void introduced(NodeId entry, FrameConnection connection) {
+        long now = ControlLoop.now();
+        FrameConnection previous = entries.put(entry, connection);
+        if (previous != null) {
+            previous.close("the entry connected again");
+            carryOut(controller.entryLost(entry, now));
+        }
+        connection.send(new Hello(
+                backend.value(), "agent", incarnation, MessageCodec.PROTOCOL_VERSION, 0, Addresses.format(address)));
+        connection.send(Messages.of(controller.status(now), 0));
+        LOG.info("Entry {} is connected.", entry);
+    }
+
+    private void lost(NodeId entry, FrameConnection connection, String reason) {
+        if (entries.remove(entry, connection)) {
+            LOG.info("Entry {} is disconnected: {}.", entry, reason);
+            carryOut(controller.entryLost(entry, ControlLoop.now()));
+        }
+    }
+
+    /** What the daemon knows about a call on the backend server. */
+    private static final class CallState {
+        final boolean isRepeatable;
+        String tag = "";
+        String engineId;
+        int reattaches;
+        long emitted;
+
+        CallState(boolean isRepeatable, String engineId) {
+            this.isRepeatable = isRepeatable;
+            this.engineId = engineId;
+        }
+    }
+
+    /** The connection of one entry. */
+    private final class EntryLink implements FrameListener {
+        private NodeId entry;
+
+        @Override
+        public void opened(FrameConnection connection) {
+            LOG.debug("A connection from {} is open.", connection.peer());
+        }
+
+        @Override
+        public void received(FrameConnection connection, Message message) {
+            if (message instanceof Hello hello) {
+                entry = new NodeId(hello.node());
+                NodeId known = entry;
+                control.execute(() -> introduced(known, connection));
+            } else if (entry != null) {
+                NodeId known = entry;
+                control.execute(() -> AgentDaemon.this.received(known, message));
+            }
+        }
+
+        @Override
+        public void closed(FrameConnection connection, String reason) {
+            NodeId known = entry;
+            if (known == null) {
+                LOG.warn("A connection without an introduction ended: {}.", reason);
+            } else {
+                control.execute(() -> lost(known, connection, reason));
+            }
+        }
+    }
+
+    /** Passes the events of the backend server to the control thread. */
+    private final class Events implements EngineCalls {
+        @Override
+        public void notReached(GenerationId generation) {
+            control.execute(() -> {
+                CallState state = calls.get(generation);
+                if (state != null && state.engineId != null) {
+                    tryAgain(generation, state, "the engine refuses connections");
+                } else {
+                    calls.remove(generation);
+                    carryOut(controller.notReached(generation, ControlLoop.now()));
+                }
+            });
+        }
+
+        @Override
+        public void accepted(GenerationId generation, String engineId) {
+            control.execute(() -> {
+                CallState state = calls.get(generation);
+                if (state == null) {
+                    engine.cancel(generation, engineId);
+                } else {
+                    state.engineId = engineId;
+                }
+            });
+        }
+
+        @Override
+        public void tokens(GenerationId generation, long offset, List<String> texts) {
+            control.execute(() -> {
+                CallState state = calls.get(generation);
+                if (state != null) {
+                    state.emitted = Math.max(state.emitted, offset + texts.size());
+                    state.reattaches = 0;
+                    carryOut(controller.engineTokens(generation, offset, texts, ControlLoop.now()));
+                }
+            });
+        }
+
+        @Override
+        public void ended(GenerationId generation, long totalTokens, String finishReason) {
+            control.execute(() -> {
+                calls.remove(generation);
+                carryOut(controller.engineEnded(generation, totalTokens, finishReason, ControlLoop.now()));
+            });
+        }
+
+        @Override
+        public void answered(GenerationId generation, int status, Map<String, String> headers, Payload body) {
+            control.execute(() -> {
+                calls.remove(generation);
+                Map<String, String> kept = HeaderRules.ofResponse(headers);
+                carryOut(controller.backendAnswered(generation, status, kept, body, ControlLoop.now()));
+            });
+        }
+
+        @Override
+        public void refused(GenerationId generation, int status) {
+            control.execute(() -> {
+                CallState state = calls.remove(generation);
+                boolean isReattached = state != null && state.engineId != null;
+                ErrorKind kind = isReattached ? ErrorKind.GENERATION_LOST : kindOf(status);
+                boolean mayHaveRun = isReattached || (status >= 500 && status != 503);
+                RunOutcome outcome = mayHaveRun ? RunOutcome.RAN : RunOutcome.NOT_RUN;
+                LOG.warn("The engine refused {} with status {}.", generation, status);
+                carryOut(controller.backendFailed(generation, kind, outcome, ControlLoop.now()));
+            });
+        }
+
+        @Override
+        public void broken(GenerationId generation, String reason) {
+            control.execute(() -> {
+                CallState state = calls.get(generation);
+                if (state == null) {
+                    return;
+                }
+                if (settings.isPlain()) {
+                    calls.remove(generation);
+                    ErrorKind kind = state.isRepeatable ? ErrorKind.BACKEND_FAILED : ErrorKind.OUTCOME_UNKNOWN;
+                    LOG.warn("The call {} broke: {}.", generation, reason);
+                    carryOut(controller.backendFailed(generation, kind, RunOutcome.UNKNOWN, ControlLoop.now()));
+                } else {
+                    tryAgain(generation, state, reason);
+                }
+            });
+        }
+
+        private void tryAgain(GenerationId generation, CallState state, String reason) {
+            state.reattaches++;
+            LOG.warn("The connection of {} broke: {}; attempt {} to read on.", generation, reason, state.reattaches);
+            if (state.reattaches > MAX_REATTACHES) {
+                lose(generation, state);
+            } else if (state.engineId != null) {
+                engine.reattach(generation, state.engineId, state.emitted);
+            } else {
+                engine.get("/v1/streams", node -> control.execute(() -> find(generation, state, node)));
+            }
+        }
+
+        private void find(GenerationId generation, CallState state, JsonNode node) {
+            if (node != null) {
+                for (JsonNode stream : node.path("streams")) {
+                    if (stream.path("request_id").asText().equals(state.tag)) {
+                        state.engineId = stream.path("id").asText();
+                        engine.reattach(generation, state.engineId, state.emitted);
+                        return;
+                    }
+                }
+            }
+            lose(generation, state);
+        }
+
+        private void lose(GenerationId generation, CallState state) {
+            calls.remove(generation);
+            ErrorKind kind = state.emitted > 0 ? ErrorKind.GENERATION_LOST : ErrorKind.BACKEND_FAILED;
+            RunOutcome outcome = state.emitted > 0 ? RunOutcome.RAN : RunOutcome.UNKNOWN;
+            carryOut(controller.backendFailed(generation, kind, outcome, ControlLoop.now()));
+        }
+
+        private ErrorKind kindOf(int status) {
+            if (status == 429 || status == 503) {
+                return ErrorKind.OVERLOADED;
+            }
+            return status >= 400 && status < 500 ? ErrorKind.BAD_REQUEST : ErrorKind.BACKEND_FAILED;
+        }
+    }
+}
--- /dev/null
+++ b/daemon/src/main/java/io/hornbeamscale/daemon/EntryCommand.java
@@ -0,0 +1,21 @@
+package io.hornbeamscale.daemon;
+
+import com.beust.jcommander.Parameter;
+import com.beust.jcommander.Parameters;
+import java.nio.file.Path;
+
+/** Runs an entry until the process is asked to stop. */
+@Parameters(commandDescription = "Accept callers and hand their requests to agents")
+final class EntryCommand extends Command {
+    @Parameter(names = "--settings", required = true, description = "The YAML file with the settings")
+    private String file;
+
+    @Override
+    int run() {
+        EntrySettings settings = SettingsFiles.entry(Path.of(file));
+        Logs.configure(settings.log());
+        EntryDaemon entry = new EntryDaemon(settings);
+        entry.start();
+        return Stops.await("entry", entry::drain, () -> entry.openRequests() == 0, entry);
+    }
+}
--- /dev/null
+++ b/daemon/src/test/java/io/hornbeamscale/daemon/TestSite.java
@@ -0,0 +1,96 @@
+package io.hornbeamscale.daemon;
+
+import io.hornbeamscale.core.document.KeyDigest;
+import java.io.IOException;
+import java.io.UncheckedIOException;
+import java.net.InetSocketAddress;
+import java.net.ServerSocket;
+import java.net.URI;
+import java.nio.file.Files;
+import java.nio.file.Path;
+import java.util.List;
+
+/** Settings and documents for daemons on the loopback address. */
+final class TestSite {
+    static final String KEY = "sk-test-0123456789";
+
+    private TestSite() {}
+
+    static int freePort() {
+        try (ServerSocket socket = new ServerSocket(0)) {
+            return socket.getLocalPort();
+        } catch (IOException e) {
+            throw new UncheckedIOException(e);
+        }
+    }
+
+    static InetSocketAddress loopback(int port) {
+        return Addresses.loopback(port);
+    }
+
+    static AgentSettings agent(String backend, int port, InetSocketAddress server, String kind) {
+        return new AgentSettings(
+                backend,
+                "amman",
+                "amman-a",
+                loopback(port),
+                loopback(0),
+                URI.create("http://127.0.0.1:" + server.getPort()),
+                kind,
+                kind.equals("plain") ? 0 : 100_000,
+                64,
+                null,
+                null,
+                "text");
+    }
+
+    static EntrySettings entry(String node, Path document) {
+        return new EntrySettings(
+                node,
+                "amman",
+                "amman-a",
+                loopback(0),
+                loopback(0),
+                loopback(0),
+                List.of(),
+                null,
+                null,
+                document,
+                16 * 1024,
+                20_000,
+                "text");
+    }
+
+    /** Writes a document with one model service, one plain service, and the given agents. */
+    static Path document(Path directory, List<Integer> modelPorts, List<Integer> plainPorts) {
+        StringBuilder yaml = new StringBuilder();
+        yaml.append("services:\n");
+        yaml.append("  - {name: stories, kind: model, models: [tale], nonIdempotent: [], deduplicatesKeys: false}\n");
+        yaml.append("  - {name: bookings, kind: plain, models: [], nonIdempotent: ['POST /book'], "
+                + "deduplicatesKeys: false}\n");
+        yaml.append("customers:\n  - {name: petra, keyHashes: [" + KeyDigest.of(KEY) + "], "
+                + "services: [stories, bookings], weight: 1, requestsPerSecond: 10000, tokensPerSecond: 1000000}\n");
+        yaml.append("models:\n  - {name: tale, version: '1', adapters: [], maxOutputTokens: 20000, "
+                + "typicalOutputTokens: 100}\n");
+        yaml.append("workKinds:\n  - {name: short, priority: 5, maxWaitMillis: 20000}\n");
+        yaml.append("regions:\n  - {name: amman, zones: [amman-a], linkBytesPerSecond: 2500000}\n");
+        yaml.append("backends:\n");
+        for (int i = 0; i < modelPorts.size(); i++) {
+            yaml.append(backend("m" + i, "stories", "tale", 100_000, modelPorts.get(i)));
+        }
+        for (int i = 0; i < plainPorts.size(); i++) {
+            yaml.append(backend("p" + i, "bookings", "''", 0, plainPorts.get(i)));
+        }
+        try {
+            return Files.writeString(directory.resolve("document.yaml"), yaml);
+        } catch (IOException e) {
+            throw new UncheckedIOException(e);
+        }
+    }
+
+    private static String backend(String name, String service, String model, int memory, int port) {
+        return "  - {name: " + name + ", service: " + service + ", region: amman, zone: amman-a, address: '127.0.0.1:"
+                + port + "', model: " + model + ", memoryTokens: " + memory
+                + ", maxRunning: 64, checksFencing: true, honoursPriorities: false}\n";
+    }
+}
--- /dev/null
+++ b/wire/src/main/java/io/hornbeamscale/wire/message/LimitShare.java
@@ -0,0 +1,18 @@
+package io.hornbeamscale.wire.message;
+
+import com.fasterxml.jackson.annotation.JsonProperty;
+
+/**
+ * Exchanges demand and shares of customers' limits.
+ *
+ * @param kind the kind of the exchange; null means empty
+ * @param content the content as JSON; null means empty
+ */
+public record LimitShare(
+        @JsonProperty("k") String kind, @JsonProperty("x") String content) implements Message {
+    /** Checks required fields and replaces missing optional ones. */
+    public LimitShare {
+        kind = kind == null ? "" : kind;
+        content = content == null ? "" : content;
+    }
+}
--- /dev/null
+++ b/wire/src/test/java/io/hornbeamscale/wire/MessageCodecTest.java
@@ -0,0 +1,81 @@
+package io.hornbeamscale.wire;
+
+import static org.junit.jupiter.api.Assertions.assertEquals;
+import static org.junit.jupiter.api.Assertions.assertThrows;
+import static org.junit.jupiter.api.Assertions.assertTrue;
+
+import io.hornbeamscale.core.error.ErrorKind;
+import io.hornbeamscale.core.error.ServingException;
+import io.hornbeamscale.core.work.Payload;
+import io.hornbeamscale.wire.message.ConfigDigest;
+import io.hornbeamscale.wire.message.ConfigWhole;
+import io.hornbeamscale.wire.message.End;
+import io.hornbeamscale.wire.message.Hello;
+import io.hornbeamscale.wire.message.Message;
+import io.hornbeamscale.wire.message.Reserve;
+import io.hornbeamscale.wire.message.Start;
+import io.hornbeamscale.wire.message.Started;
+import io.hornbeamscale.wire.message.Status;
+import io.hornbeamscale.wire.message.Tokens;
+import java.io.IOException;
+import java.nio.charset.StandardCharsets;
+import java.util.Arrays;
+import java.util.List;
+import java.util.Map;
+import java.util.Optional;
+import org.junit.jupiter.api.Test;
+import org.msgpack.core.MessageBufferPacker;
+import org.msgpack.core.MessagePack;
+
+/** Guards against messages that change on the way and against releases that cannot run together. */
+class MessageCodecTest {
+    @Test
+    void everyFieldSurvives() {
+        List<Message> messages = List.of(
+                new Hello("e1", "entry", 7, 1, 3, "127.0.0.1:9"),
+                new Reserve("r", 1, "s", "c", "k", 2, 3, 4, List.of(5L, -6L), 7, 8, true, false, true, "m"),
+                new Start("r", 1, 7, 9, "POST", "/p", Map.of("a", "b"), Payload.ofText("{}"), 50, 0),
+                new Tokens("r", 1, "b.1.2", 4, List.of("one", " zwei")),
+                new End("r", 1, "b.1.2", 0, "", 201, Map.of("a", "b"), Payload.of(new byte[] {0, -1})),
+                new Status("b", 1, 2, 3, 4, 5, 6, 7.5, true, 8, List.of("x"), List.of(9L)));
+        for (Message message : messages) {
+            assertEquals(Optional.of(message), MessageCodec.decode(MessageCodec.encode(message)));
+        }
+    }
+
+    @Test
+    void unknownFieldsAreSkippedAndUnknownTypesIgnored() throws IOException {
+        try (MessageBufferPacker packer = MessagePack.newDefaultBufferPacker()) {
+            packer.packMapHeader(4).packString("cv").packLong(5);
+            packer.packString("new").packArrayHeader(1).packString("x");
+            packer.packString("t").packString("config-digest").packString("v").packInt(2);
+            assertEquals(Optional.of(new ConfigDigest(5)), MessageCodec.decode(packer.toByteArray()));
+            packer.clear();
+            packer.packMapHeader(1).packString("t").packString("from-a-later-release");
+            assertEquals(Optional.empty(), MessageCodec.decode(packer.toByteArray()));
+        }
+    }
+
+    @Test
+    void malformedBytesAreBadFrames() throws IOException {
+        byte[] missing;
+        try (MessageBufferPacker packer = MessagePack.newDefaultBufferPacker()) {
+            packer.packMapHeader(1).packString("t").packString("started");
+            missing = packer.toByteArray();
+        }
+        byte[] whole = MessageCodec.encode(new Started("r", 1, "b.1.2"));
+        byte[] cut = Arrays.copyOf(whole, whole.length - 3);
+        for (byte[] bytes : List.of(
+                new byte[] {(byte) 0xc1}, new byte[0], missing, cut, "GET / HTTP".getBytes(StandardCharsets.UTF_8))) {
+            ServingException e = assertThrows(ServingException.class, () -> MessageCodec.decode(bytes));
+            assertEquals(ErrorKind.BAD_FRAME, e.kind());
+        }
+    }
+
+    @Test
+    void messagesBeyondTheFrameLimitAreRefusedBeforeTheyAreSent() {
+        Message large = new ConfigWhole(1, "x".repeat(MessageCodec.MAX_FRAME_BYTES));
+        ServingException e = assertThrows(ServingException.class, () -> MessageCodec.encode(large));
+        assertTrue(e.getMessage().contains("exceeds the frame limit of 1048576 bytes"), e.getMessage());
+    }
+}
