Add admin address, graceful stop, status and config subcommands

Cause: the daemons had no metrics, readiness or bounded graceful stop.

Change: /metrics, /health, /ready and /status on the admin address; SIGTERM leads through DrainController; the entry waits until every response has left.

--- a/core/src/main/java/io/hornbeamscale/core/agent/AgentController.java
+++ b/core/src/main/java/io/hornbeamscale/core/agent/AgentController.java
@@ -2,6 +2,7 @@
 
 import io.hornbeamscale.core.attempt.AttemptLedger;
 import io.hornbeamscale.core.attempt.LedgerAction;
+import io.hornbeamscale.core.drain.RunningWork;
 import io.hornbeamscale.core.error.ErrorKind;
 import io.hornbeamscale.core.error.RunOutcome;
 import io.hornbeamscale.core.id.AttemptId;
@@ -395,12 +396,22 @@
     }
 
     /**
-     * Returns the number of calls on the backend server.
+     * Returns the calls on the backend server, as a graceful stop sees them.
      *
-     * @return the number of calls
+     * @return the calls, never null
      */
-    public int runningCalls() {
-        return running.size();
+    public List<RunningWork> running() {
+        return running.values().stream().map(RunningCall::forDrain).toList();
+    }
+
+    /**
+     * Returns the generation of an attempt that runs.
+     *
+     * @param attempt the attempt, not null
+     * @return the generation, null if the attempt does not run
+     */
+    public GenerationId generationOf(AttemptId attempt) {
+        return generations.get(attempt);
     }
 
     /**
--- a/core/src/main/java/io/hornbeamscale/core/agent/RunningCall.java
+++ b/core/src/main/java/io/hornbeamscale/core/agent/RunningCall.java
@@ -1,5 +1,6 @@
 package io.hornbeamscale.core.agent;
 
+import io.hornbeamscale.core.drain.RunningWork;
 import io.hornbeamscale.core.id.AttemptId;
 import io.hornbeamscale.core.id.GenerationId;
 import io.hornbeamscale.core.id.GrantId;
@@ -62,6 +63,10 @@
         return emitted;
     }
 
+    RunningWork forDrain() {
+        return new RunningWork(attempt, emitted > 0, work.isRepeatable(), 0, emitted);
+    }
+
     /** Notes tokens and returns how many of them are new. */
     int noteTokens(long offset, int count) {
         long end = offset + count;
--- a/core/src/main/java/io/hornbeamscale/core/entry/EntryController.java
+++ b/core/src/main/java/io/hornbeamscale/core/entry/EntryController.java
@@ -24,6 +24,7 @@
 import java.util.LinkedHashMap;
 import java.util.List;
 import java.util.Map;
+import java.util.function.BiConsumer;
 
 /**
  * Composes the decisions of one entry: dispatch and the assembly of responses. Every method returns the actions to
@@ -311,15 +312,6 @@
         return request;
     }
 
-    /** Finds the request of a failure, null if there is none. */
-    OpenRequest findAny(AttemptId attempt) {
-        OpenRequest request = open.get(attempt.request());
-        if (request == null) {
-            droppedFrames++;
-        }
-        return request;
-    }
-
     /** Removes a request; returns whether it was open. */
     boolean close(RequestId id) {
         return open.remove(id) != null;
@@ -329,6 +321,10 @@
         return open.get(id);
     }
 
+    void forEachOpen(BiConsumer<RequestId, OpenRequest> consumer) {
+        open.forEach(consumer);
+    }
+
     Dispatcher dispatcher() {
         return dispatcher;
     }
--- a/core/src/main/java/io/hornbeamscale/core/entry/ResponseEvents.java
+++ b/core/src/main/java/io/hornbeamscale/core/entry/ResponseEvents.java
@@ -1,9 +1,11 @@
 package io.hornbeamscale.core.entry;
 
+import io.hornbeamscale.core.drain.RunningWork;
 import io.hornbeamscale.core.error.ErrorKind;
 import io.hornbeamscale.core.error.RunOutcome;
 import io.hornbeamscale.core.id.AttemptId;
 import io.hornbeamscale.core.id.GenerationId;
+import io.hornbeamscale.core.id.RequestId;
 import io.hornbeamscale.core.stream.StreamAction;
 import io.hornbeamscale.core.work.Payload;
 import java.util.ArrayList;
@@ -105,7 +107,7 @@
      */
     public List<EntryAction> failed(AttemptId attempt, ErrorKind kind, RunOutcome outcome, long nowMillis) {
         List<EntryAction> actions = new ArrayList<>();
-        OpenRequest request = controller.findAny(attempt);
+        OpenRequest request = controller.request(attempt.request());
         if (request == null) {
             return actions;
         }
@@ -113,6 +115,41 @@
         return actions;
     }
 
+    /**
+     * Returns the requests that wait or run, as a graceful stop sees them.
+     *
+     * @return the requests, never null
+     */
+    public List<RunningWork> running() {
+        List<RunningWork> running = new ArrayList<>();
+        controller.forEachOpen((id, request) -> {
+            AttemptId attempt = request.current == null ? new AttemptId(id, 1) : request.current;
+            long offset = request.isPlain() ? 0 : request.assembler.nextOffset();
+            boolean isDelivered = !request.isPlain() && request.assembler.isDelivered();
+            running.add(new RunningWork(attempt, isDelivered, request.isRepeatable(), 0, offset));
+        });
+        return running;
+    }
+
+    /**
+     * Ends a request that cannot finish before the process stops.
+     *
+     * @param id the request, not null
+     * @param kind the error, not null
+     * @param outcome what is known about the execution, not null
+     * @param offset the number of tokens so far
+     * @param nowMillis the present time
+     * @return the actions to carry out
+     */
+    public List<EntryAction> giveUp(RequestId id, ErrorKind kind, RunOutcome outcome, long offset, long nowMillis) {
+        List<EntryAction> actions = new ArrayList<>();
+        if (controller.close(id)) {
+            actions.add(new EntryAction.Fail(id, kind, outcome, 0, offset));
+            controller.dispatch(controller.dispatcher().cancelled(id, nowMillis), actions, nowMillis);
+        }
+        return actions;
+    }
+
     /** Stops a generation that nobody at this entry waits for, such as one whose cancellation was lost. */
     private static void cancelUnknown(AttemptId attempt, GenerationId generation, List<EntryAction> actions) {
         actions.add(new EntryAction.SendCancel(generation.backend(), attempt));
--- a/daemon/src/main/java/io/hornbeamscale/daemon/AgentDaemon.java
+++ b/daemon/src/main/java/io/hornbeamscale/daemon/AgentDaemon.java
@@ -1,12 +1,18 @@
 package io.hornbeamscale.daemon;
 
+import com.codahale.metrics.MetricRegistry;
 import com.fasterxml.jackson.databind.JsonNode;
 import io.hornbeamscale.core.agent.AgentAction;
 import io.hornbeamscale.core.agent.AgentController;
 import io.hornbeamscale.core.attempt.AttemptLedger;
 import io.hornbeamscale.core.attempt.LedgerLimits;
+import io.hornbeamscale.core.document.LimitsSpec;
+import io.hornbeamscale.core.drain.DrainAction;
+import io.hornbeamscale.core.drain.DrainSign;
+import io.hornbeamscale.core.drain.RunningWork;
 import io.hornbeamscale.core.error.ErrorKind;
 import io.hornbeamscale.core.error.RunOutcome;
+import io.hornbeamscale.core.id.AttemptId;
 import io.hornbeamscale.core.id.BackendId;
 import io.hornbeamscale.core.id.CustomerId;
 import io.hornbeamscale.core.id.GenerationId;
@@ -17,6 +23,7 @@
 import io.hornbeamscale.core.stream.RetentionBuffer;
 import io.hornbeamscale.core.stream.RetentionLimits;
 import io.hornbeamscale.core.stream.StreamReader;
+import io.hornbeamscale.core.work.BackendStatus;
 import io.hornbeamscale.core.work.Call;
 import io.hornbeamscale.core.work.EngineLoad;
 import io.hornbeamscale.core.work.Payload;
@@ -62,9 +69,14 @@
     private final Map<NodeId, FrameConnection> entries = new HashMap<>();
     private final Map<GenerationId, CallState> calls = new LinkedHashMap<>();
     private InetSocketAddress address;
+    private InetSocketAddress adminAddress;
     private long nextStatusMillis;
     private long nextLoadMillis;
-    private boolean isDraining;
+    private final DrainWatch drain = new DrainWatch(LOG, this::stopNewWork, this::runningWork, this::giveUp);
+    private final long drainMillis = LimitsSpec.defaults().drainMillis();
+    private final MetricRegistry registry = new MetricRegistry();
+    private volatile BackendStatus lastStatus;
+    private AdminServer admin;
 
     AgentDaemon(AgentSettings settings) {
         this.settings = settings;
@@ -90,38 +102,88 @@
         if (!settings.isPlain()) {
             control.execute(this::rebuild);
         }
+        registry.gauge("running", () -> () -> lastStatus == null ? 0 : lastStatus.running());
+        registry.gauge("waiting", () -> () -> lastStatus == null ? 0 : lastStatus.waiting());
+        registry.gauge("used_tokens", () -> () -> lastStatus == null ? 0 : lastStatus.usedTokens());
+        registry.gauge("bad_frames", () -> frames::badFrames);
+        registry.gauge("unknown_messages", () -> frames::unknownTypes);
+        registry.gauge("control_queue", () -> control::waiting);
+        admin = new AdminServer(settings.admin(), registry, () -> !drain.isDraining(), this::statusFields);
+        adminAddress = admin.start();
         address = frames.listen(settings.listen(), EntryLink::new);
         LOG.info("Agent of {} listens on {}, incarnation {}.", backend, Addresses.format(address), incarnation);
         return address;
     }
 
-    /** Stops new work; the process may end once {@link #isIdle} returns true. */
-    void drain() {
-        control.execute(() -> {
-            isDraining = true;
-            carryOut(controller.drain(ControlLoop.now()));
-            nextStatusMillis = 0;
-        });
+    /** Returns the address for metrics and health. */
+    InetSocketAddress adminAddress() {
+        return adminAddress;
     }
 
-    /** Returns whether nothing runs and every response has been received. */
-    boolean isIdle() {
-        return controller.runningCalls() == 0 && controller.unacknowledged() == 0;
+    /** Begins a graceful stop; the process may end once {@link #isDrained} returns true. */
+    void drain(DrainSign sign) {
+        control.execute(() -> drain.begin(sign, drainMillis));
+    }
+
+    /** Returns whether a graceful stop is over. */
+    boolean isDrained() {
+        return drain.isOver();
     }
 
     @Override
     public void close() {
+        if (admin != null) {
+            admin.close();
+        }
         control.close();
         frames.close();
         worker.shutdownNow();
     }
 
+    private List<RunningWork> runningWork() {
+        return controller.running();
+    }
+
+    private void stopNewWork() {
+        carryOut(controller.drain(ControlLoop.now()));
+        nextStatusMillis = 0;
+    }
+
+    private void giveUp(DrainAction action) {
+        long now = ControlLoop.now();
+        if (action instanceof DrainAction.Move move) {
+            endCall(move.attempt(), ErrorKind.DRAINING, RunOutcome.UNKNOWN, now);
+        } else if (action instanceof DrainAction.EndWork end) {
+            endCall(end.attempt(), end.kind(), end.outcome(), now);
+        }
+    }
+
+    private void endCall(AttemptId attempt, ErrorKind kind, RunOutcome outcome, long now) {
+        GenerationId generation = controller.generationOf(attempt);
+        if (generation != null) {
+            CallState state = calls.remove(generation);
+            engine.cancel(generation, state == null ? null : state.engineId);
+            carryOut(controller.backendFailed(generation, kind, outcome, now));
+        }
+    }
+
+    private Map<String, Object> statusFields() {
+        Map<String, Object> fields = new LinkedHashMap<>();
+        fields.put("role", "agent");
+        fields.put("backend", backend.value());
+        fields.put("incarnation", incarnation);
+        fields.put("draining", drain.isDraining());
+        return fields;
+    }
+
     private void tick() {
         long now = ControlLoop.now();
         carryOut(controller.tick(now));
+        drain.tick(controller.unacknowledged());
+        lastStatus = controller.status(now);
         if (now >= nextStatusMillis) {
             nextStatusMillis = now + STATUS_MILLIS;
-            Message status = Messages.of(controller.status(now), 0);
+            Message status = Messages.of(lastStatus, 0);
             entries.values().forEach(link -> link.send(status));
         }
         if (!settings.isPlain() && now >= nextLoadMillis) {
--- a/daemon/src/main/java/io/hornbeamscale/daemon/CallerExchange.java
+++ b/daemon/src/main/java/io/hornbeamscale/daemon/CallerExchange.java
@@ -27,8 +27,13 @@
     private boolean isStarted;
     private boolean isShutdown;
 
-    CallerExchange(HttpServerExchange exchange) {
+    CallerExchange(HttpServerExchange exchange, EntryMetrics metrics) {
         this.exchange = exchange;
+        metrics.responseBegun();
+        exchange.addExchangeCompleteListener((ended, next) -> {
+            metrics.responseSent();
+            next.proceed();
+        });
     }
 
     /** Returns whether the head of the response was sent. */
@@ -75,11 +80,6 @@
         }
     }
 
-    /** Closes the connection without a complete response, so that the caller sees that it is incomplete. */
-    void abort() {
-        exchange.getIoThread().execute(() -> IoUtils.safeClose(exchange.getConnection()));
-    }
-
     private void pump() {
         try {
             if (channel == null) {
--- a/daemon/src/main/java/io/hornbeamscale/daemon/CallerHandler.java
+++ b/daemon/src/main/java/io/hornbeamscale/daemon/CallerHandler.java
@@ -44,11 +44,12 @@
             Map<String, String> headers = headers(exchange);
             CustomerSpec customer = reader.authenticate(headers.get("authorization"));
             check(exchange);
-            exchange.getRequestReceiver().setMaxBufferSize(reader.maxBodyBytes());
+            exchange.getRequestReceiver().setMaxBufferSize(reader.limits().maxBodyBytes());
             exchange.getRequestReceiver()
                     .receiveFullBytes(
                             (ex, body) -> accept(ex, id, reader, customer, headers, body),
-                            (ex, e) -> refuse(ex, id, tooLarge(e, reader.maxBodyBytes())));
+                            (ex, e) ->
+                                    refuse(ex, id, tooLarge(e, reader.limits().maxBodyBytes())));
         } catch (ServingException e) {
             refuse(exchange, id, e);
         }
@@ -157,7 +158,8 @@
                 // The rest of the request is not read, so the connection cannot carry another one.
                 exchange.setPersistent(false);
             }
-            new CallerExchange(exchange).respond(status, Responses.errorHeaders(e.kind(), 0, id), body);
+            new CallerExchange(exchange, entry.metrics())
+                    .respond(status, Responses.errorHeaders(e.kind(), 0, id), body);
         });
     }
 }
--- a/daemon/src/main/java/io/hornbeamscale/daemon/EntryDaemon.java
+++ b/daemon/src/main/java/io/hornbeamscale/daemon/EntryDaemon.java
@@ -9,6 +9,8 @@
 import io.hornbeamscale.core.document.BackendSpec;
 import io.hornbeamscale.core.document.Document;
 import io.hornbeamscale.core.document.LimitsSpec;
+import io.hornbeamscale.core.drain.DrainAction;
+import io.hornbeamscale.core.drain.DrainSign;
 import io.hornbeamscale.core.entry.EntryAction;
 import io.hornbeamscale.core.entry.EntryController;
 import io.hornbeamscale.core.entry.EntryRequest;
@@ -47,6 +49,7 @@
 import java.net.InetSocketAddress;
 import java.util.ArrayList;
 import java.util.HashMap;
+import java.util.LinkedHashMap;
 import java.util.List;
 import java.util.Locale;
 import java.util.Map;
@@ -76,7 +79,10 @@
     private volatile RequestReader reader = new RequestReader(Document.empty());
     private volatile int openRequests;
     private volatile int knownAgents;
+    private final DrainWatch drain;
     private Undertow server;
+    private AdminServer admin;
+    private InetSocketAddress adminAddress;
 
     EntryDaemon(EntrySettings settings) {
         this.settings = settings;
@@ -93,6 +99,11 @@
                 ? null
                 : new HttpKeyValueStore(platform, Addresses.of(settings.store()), CallPolicy.DEFAULT);
         this.control = new ControlLoop("entry", this::tick);
+        this.drain = new DrainWatch(
+                LOG,
+                () -> carryOut(controller.drain(ControlLoop.now())),
+                () -> controller.responses().running(),
+                this::giveUp);
         this.frames = new FrameLoop("entry-frames");
         this.agents = new AgentLinks(settings.node(), Incarnations.next(), frames, control, this);
     }
@@ -104,6 +115,14 @@
             Document document = SettingsFiles.document(settings.document());
             control.execute(() -> apply(document));
         }
+        metrics.gauge("open_requests", () -> openRequests);
+        metrics.gauge("known_agents", () -> knownAgents);
+        metrics.gauge("dropped_frames", controller::droppedFrames);
+        metrics.gauge("bad_frames", frames::badFrames);
+        metrics.gauge("unknown_messages", frames::unknownTypes);
+        metrics.gauge("control_queue", control::waiting);
+        admin = new AdminServer(settings.admin(), metrics.registry(), this::isReady, this::statusFields);
+        adminAddress = admin.start();
         server = Undertow.builder()
                 .addHttpListener(
                         settings.listen().getPort(),
@@ -157,7 +176,7 @@
         RequestId id = request.work().request();
         Caller caller = new Caller(
                 id,
-                new CallerExchange(exchange),
+                new CallerExchange(exchange, metrics),
                 request.isStreaming(),
                 request.work().model(),
                 request.work().promptTokens());
@@ -171,7 +190,7 @@
 
     /** Passes the resumption of a stream to the control thread. */
     void resume(RequestId id, CustomerId customer, EventId last, HttpServerExchange exchange) {
-        Caller caller = new Caller(id, new CallerExchange(exchange), true, "", 0);
+        Caller caller = new Caller(id, new CallerExchange(exchange, metrics), true, "", 0);
         watch(id, exchange);
         control.execute(() -> {
             callers.put(id, caller);
@@ -180,9 +199,19 @@
         });
     }
 
-    /** Refuses new requests from now on. */
-    void drain() {
-        control.execute(() -> carryOut(controller.drain(ControlLoop.now())));
+    /** Begins a graceful stop; the process may end once {@link #isDrained} returns true. */
+    void drain(DrainSign sign) {
+        control.execute(() -> drain.begin(sign, reader.limits().drainMillis()));
+    }
+
+    /** Returns whether a graceful stop is over and every response has left. */
+    boolean isDrained() {
+        return drain.isOver() && metrics.unsent() == 0;
+    }
+
+    /** Returns the address for metrics and health. */
+    InetSocketAddress adminAddress() {
+        return adminAddress;
     }
 
     /** Returns the number of requests that wait or run, as of the last tick. */
@@ -199,6 +228,7 @@
     public void close() {
         if (server != null) {
             server.stop();
+            admin.close();
         }
         control.close();
         frames.close();
@@ -266,7 +296,33 @@
         }
     }
 
+    private boolean isReady() {
+        return !drain.isDraining() && knownAgents > 0;
+    }
+
+    private Map<String, Object> statusFields() {
+        Map<String, Object> fields = new LinkedHashMap<>();
+        fields.put("role", "entry");
+        fields.put("node", settings.node());
+        fields.put("open_requests", openRequests);
+        fields.put("known_agents", knownAgents);
+        fields.put("draining", drain.isDraining());
+        return fields;
+    }
+
+    private void giveUp(DrainAction action) {
+        long now = ControlLoop.now();
+        if (action instanceof DrainAction.EndWork a) {
+            RequestId id = a.attempt().request();
+            carryOut(controller.responses().giveUp(id, a.kind(), a.outcome(), a.offset(), now));
+        } else if (action instanceof DrainAction.Move a) {
+            RequestId id = a.attempt().request();
+            carryOut(controller.responses().giveUp(id, ErrorKind.DRAINING, RunOutcome.UNKNOWN, 0, now));
+        }
+    }
+
     private void tick() {
+        drain.tick(0);
         carryOut(controller.tick(ControlLoop.now()));
         agents.tick(ControlLoop.now());
         openRequests = callers.size();
--- a/daemon/src/main/java/io/hornbeamscale/daemon/Main.java
+++ b/daemon/src/main/java/io/hornbeamscale/daemon/Main.java
@@ -2,6 +2,8 @@
 
 import com.beust.jcommander.JCommander;
 import com.beust.jcommander.ParameterException;
+import io.hornbeamscale.daemon.config.ConfigCommand;
+import java.util.Arrays;
 import java.util.LinkedHashMap;
 import java.util.Map;
 
@@ -26,9 +28,13 @@
 
     /** Runs a subcommand and returns the exit status. */
     static int run(String... args) {
+        if (args.length > 0 && args[0].equals("config")) {
+            return ConfigCommand.run(Arrays.copyOfRange(args, 1, args.length), System.out, System.err);
+        }
         Map<String, Command> commands = new LinkedHashMap<>();
         commands.put("entry", new EntryCommand());
         commands.put("agent", new AgentCommand());
+        commands.put("status", new StatusCommand());
         JCommander parser = JCommander.newBuilder().programName("hornbeamscale").build();
         commands.forEach(parser::addCommand);
         try {
--- a/daemon/src/main/java/io/hornbeamscale/daemon/RequestReader.java
+++ b/daemon/src/main/java/io/hornbeamscale/daemon/RequestReader.java
@@ -9,6 +9,7 @@
 import io.hornbeamscale.core.document.Document;
 import io.hornbeamscale.core.document.DocumentIndex;
 import io.hornbeamscale.core.document.KeyDigest;
+import io.hornbeamscale.core.document.LimitsSpec;
 import io.hornbeamscale.core.document.ModelSpec;
 import io.hornbeamscale.core.document.ServiceKind;
 import io.hornbeamscale.core.document.ServiceSpec;
@@ -46,9 +47,9 @@
         this.index = new DocumentIndex(document);
     }
 
-    /** Returns the greatest body of a request, in bytes. */
-    int maxBodyBytes() {
-        return index.document().limits().maxBodyBytes();
+    /** Returns the limits of the document. */
+    LimitsSpec limits() {
+        return index.document().limits();
     }
 
     /** Returns the customer of an {@code Authorization} header. */
