Limit the batch by token gap and charge customers as tokens arrive

Change: batch limit from the measured gap; counters grow with delivered tokens plus half the expected output while a request runs, and are lifted when a customer starts to wait; headroom starts at two deviations.

--- a/core/src/main/java/io/hornbeamscale/core/dispatch/BackendChooser.java
+++ b/core/src/main/java/io/hornbeamscale/core/dispatch/BackendChooser.java
@@ -24,7 +24,7 @@
 
     private static final double PROBATION_SHARE = 0.5;
     /** The time to compute one prompt token again. */
-    private static final double PREFILL_MILLIS = 0.02;
+    private static final double PREFILL_MILLIS = 0.05;
 
     private final DispatcherConfig config;
     private final BackendTable table;
@@ -103,7 +103,7 @@
     /** Returns what a reservation at the server costs, in milliseconds. */
     double cost(BackendState b, RequestState state, long nowMillis) {
         double cost = b.status == null ? 0 : b.status.expectedWaitMillis();
-        cost += LOAD_MILLIS * load(b);
+        cost += LOAD_MILLIS * load(b) + PREFILL_MILLIS * b.tokensSinceStatus;
         if (b.place != null && !b.place.region().equals(config.region())) {
             cost += OTHER_REGION_MILLIS;
         } else if (b.place != null && !b.place.zone().equals(config.zone())) {
--- a/core/src/main/java/io/hornbeamscale/core/schedule/FairCounters.java
+++ b/core/src/main/java/io/hornbeamscale/core/schedule/FairCounters.java
@@ -10,44 +10,50 @@
  * earns no credit.
  */
 final class FairCounters {
+    private static final int MAX_CUSTOMERS = 1_000;
+
     private final Map<CustomerId, Double> weights = new HashMap<>();
     private final Map<CustomerId, Counter> counters = new HashMap<>();
-    /** The least counter of the customers that were last active. */
-    private double floor;
+    /** The counter of the customer that last had nothing waiting any more. */
+    private double lastLeft;
 
     void weights(Map<CustomerId, Double> next) {
         weights.clear();
         weights.putAll(next);
     }
 
-    /** Notes that a customer has one more waiting or running request. */
+    /** Notes that a customer has one more waiting request. */
     void enter(CustomerId customer) {
         Counter c = counters.computeIfAbsent(customer, k -> new Counter());
-        if (c.active == 0) {
-            c.value = Math.max(c.value, leastActive());
+        if (c.waiting == 0) {
+            c.value = Math.max(c.value, leastWaiting());
         }
-        c.active++;
+        c.waiting++;
     }
 
-    private double leastActive() {
+    private double leastWaiting() {
         double least = Double.MAX_VALUE;
         for (Counter c : counters.values()) {
-            if (c.active > 0) {
+            if (c.waiting > 0) {
                 least = Math.min(least, c.value);
             }
         }
-        if (least < Double.MAX_VALUE) {
-            floor = Math.max(floor, least);
-        }
-        return floor;
+        return least < Double.MAX_VALUE ? least : lastLeft;
     }
 
-    /** Notes that a request of the customer has left. */
+    /** Notes that a request of the customer no longer waits. */
     void leave(CustomerId customer) {
         Counter c = counters.get(customer);
-        c.active--;
-        if (c.active == 0 && counters.size() > 1_000) {
-            floor = Math.max(floor, c.value);
+        c.waiting--;
+        if (c.waiting == 0) {
+            lastLeft = c.value;
+        }
+    }
+
+    /** Forgets a customer that has nothing waiting or running, so that the table stays small. */
+    void forget(CustomerId customer) {
+        Counter c = counters.get(customer);
+        if (c != null && c.waiting == 0 && counters.size() > MAX_CUSTOMERS) {
             counters.remove(customer);
         }
     }
@@ -66,6 +72,6 @@
 
     private static final class Counter {
         double value;
-        int active;
+        int waiting;
     }
 }
--- a/core/src/main/java/io/hornbeamscale/core/schedule/Headroom.java
+++ b/core/src/main/java/io/hornbeamscale/core/schedule/Headroom.java
@@ -5,9 +5,9 @@
  * none, so that it settles where preemptions are rare.
  */
 final class Headroom {
-    private static final double MIN = 0.25;
+    private static final double MIN = 1;
     private static final double MAX = 4;
-    private static final double START = 1.0;
+    private static final double START = 2.0;
     private static final double GROWTH = 0.2;
     private static final double SHRINK_PER_SECOND = 0.01;
 
--- a/core/src/main/java/io/hornbeamscale/core/schedule/HeldWork.java
+++ b/core/src/main/java/io/hornbeamscale/core/schedule/HeldWork.java
@@ -12,7 +12,7 @@
     final LengthCurve curve;
     final int promptTokens;
     final int maxTokens;
-    /** Tokens that the customer's counter was charged in advance. */
+    /** Tokens by which the customer's counter is raised while this runs. */
     final double charged;
 
     int emitted;
--- a/core/src/main/java/io/hornbeamscale/core/schedule/MemoryScheduler.java
+++ b/core/src/main/java/io/hornbeamscale/core/schedule/MemoryScheduler.java
@@ -33,6 +33,12 @@
     /** The age from which long work that does not fit holds short work back to its own share. */
     private static final long HOLD_MILLIS = 4_000;
 
+    /**
+     * The share of its expected output by which a running request raises its customer's counter on top of the tokens
+     * that have arrived. Without it, a customer would take every place that becomes free until its tokens arrive.
+     */
+    private static final double HOLD_SHARE = 0.5;
+
     private final SchedulerConfig config;
     private final LengthModel lengths;
     private final FairCounters counters = new FairCounters();
@@ -40,6 +46,7 @@
     private final EngineMemory memory;
     private final PrefixSummary prefixes = new PrefixSummary();
     private final TokenGaps gaps = new TokenGaps();
+    private final BatchLimit batch;
     private double serviceMean;
     private double waitingShortTokens;
     private long grants;
@@ -65,6 +72,7 @@
         this.config = Arguments.notNull(config, "config");
         this.lengths = Arguments.notNull(lengths, "lengths");
         this.memory = new EngineMemory(config);
+        this.batch = new BatchLimit(config.targetGapMillis(), config.maxRunning());
         this.serviceMean = config.typicalTokens();
     }
 
@@ -115,7 +123,7 @@
 
     private List<ScheduleAction> grant(long nowMillis) {
         List<ScheduleAction> out = new ArrayList<>();
-        while (waiting.size() > 0 && memory.size() < config.maxRunning()) {
+        while (waiting.size() > 0 && memory.size() < batch.limit()) {
             QueuedWork next = next(nowMillis);
             if (next == null) {
                 break;
@@ -147,13 +155,11 @@
 
     private ScheduleAction issue(QueuedWork q, long nowMillis) {
         Reservation r = q.reservation;
-        // Entering before leaving keeps the customer active, so that its counter is not lifted.
-        counters.enter(r.work().customer());
         forget(r.attempt());
         grants++;
         GrantId grant = new GrantId(config.incarnation(), grants);
-        HeldWork h = new HeldWork(q, grant, nowMillis + config.grantMillis(), q.tokens());
-        charge(h, h.charged);
+        HeldWork h = new HeldWork(q, grant, nowMillis + config.grantMillis(), HOLD_SHARE * q.expectedTokens);
+        charge(h, h.promptTokens + h.charged);
         memory.add(h);
         return new ScheduleAction.SendGrant(r.entry(), r.attempt(), grant, config.grantMillis());
     }
@@ -174,8 +180,8 @@
     private HeldWork release(AttemptId attempt) {
         HeldWork h = memory.remove(attempt);
         if (h != null) {
-            charge(h, Math.min(0, (h.isStarted ? h.tokens() : 0) - h.charged));
-            counters.leave(h.reservation.work().customer());
+            charge(h, -h.charged - (h.isStarted ? 0 : h.promptTokens));
+            counters.forget(h.reservation.work().customer());
         }
         return h;
     }
@@ -209,10 +215,7 @@
         gaps.token(h.lastTokenMillis, count, nowMillis);
         h.lastTokenMillis = nowMillis;
         memory.grow(h, count, LONG_FACTOR * serviceMean);
-        double beyond = h.tokens() - h.charged;
-        if (beyond > 0) {
-            charge(h, Math.min(count, beyond));
-        }
+        charge(h, count);
         return List.of();
     }
 
@@ -267,6 +270,7 @@
     public List<ScheduleAction> tick(long nowMillis) {
         List<ScheduleAction> out = new ArrayList<>();
         memory.tick(waitingShortTokens, nowMillis);
+        batch.adjust(gaps.gapMillis(memory.size(), nowMillis), memory.size(), nowMillis);
         for (HeldWork h : memory.all()) {
             if (!h.isStarted && nowMillis >= h.expiresMillis) {
                 release(h.reservation.attempt());
--- a/core/src/main/java/io/hornbeamscale/core/schedule/SchedulerConfig.java
+++ b/core/src/main/java/io/hornbeamscale/core/schedule/SchedulerConfig.java
@@ -16,6 +16,7 @@
  * @param shortSharePercent the share of memory that long work cannot take while there is short work, in percent
  * @param isPredictive whether admission and order use expected lengths; without, only the prompt counts
  * @param isFair whether customers are ordered by their weighted tokens
+ * @param targetGapMillis the time between tokens above which fewer requests run at once, 0 for no such limit
  */
 public record SchedulerConfig(
         BackendId backend,
@@ -27,7 +28,8 @@
         int typicalTokens,
         int shortSharePercent,
         boolean isPredictive,
-        boolean isFair) {
+        boolean isFair,
+        double targetGapMillis) {
     /** Checks the parts. */
     public SchedulerConfig {
         Arguments.notNull(backend, "backend");
@@ -36,6 +38,7 @@
         Arguments.positive(maxWaiting, "maxWaiting");
         Arguments.positive(grantMillis, "grantMillis");
         Arguments.positive(typicalTokens, "typicalTokens");
+        Arguments.inRange(targetGapMillis, 0, 60_000, "targetGapMillis");
         Arguments.inRange(shortSharePercent, 0, 90, "shortSharePercent");
     }
 
@@ -62,6 +65,7 @@
         private int shortSharePercent = 15;
         private boolean isPredictive = true;
         private boolean isFair = true;
+        private double targetGapMillis = 33;
 
         private Builder(BackendId backend, long incarnation) {
             this.backend = backend;
@@ -156,6 +160,17 @@
             return this;
         }
 
+        /**
+         * Sets the target for the time between tokens.
+         *
+         * @param value the time in milliseconds, 0 for no limit of the batch
+         * @return this builder
+         */
+        public Builder targetGapMillis(double value) {
+            targetGapMillis = value;
+            return this;
+        }
+
         /**
          * Builds the settings.
          *
@@ -173,7 +188,8 @@
                     typicalTokens,
                     shortSharePercent,
                     isPredictive,
-                    isFair);
+                    isFair,
+                    targetGapMillis);
         }
     }
 }
--- a/measure/src/main/java/io/hornbeamscale/measure/sim/AgentNode.java
+++ b/measure/src/main/java/io/hornbeamscale/measure/sim/AgentNode.java
@@ -47,6 +47,7 @@
         this.scheduler = control.policy() == Policy.ORACLE
                 ? new MemoryScheduler(config, control.truth())
                 : new MemoryScheduler(config);
+        scheduler.weights(control.weights());
         control.cluster().loop().after(0, this::sendStatus);
         control.cluster().loop().every(STATUS_MICROS, this::sendStatus);
         control.cluster().loop().every(TICK_MICROS, () -> perform(scheduler.tick(now())));
--- a/measure/src/main/java/io/hornbeamscale/measure/sim/ControlPlane.java
+++ b/measure/src/main/java/io/hornbeamscale/measure/sim/ControlPlane.java
@@ -2,6 +2,7 @@
 
 import io.hornbeamscale.core.dispatch.BackendPlace;
 import io.hornbeamscale.core.id.BackendId;
+import io.hornbeamscale.core.id.CustomerId;
 import io.hornbeamscale.core.id.RegionId;
 import io.hornbeamscale.core.id.ServiceId;
 import io.hornbeamscale.core.id.ZoneId;
@@ -95,6 +96,15 @@
         return policy;
     }
 
+    /** Customers pay for their usual share; the one that floods has the same weight as the others. */
+    Map<CustomerId, Double> weights() {
+        Map<CustomerId, Double> weights = new LinkedHashMap<>();
+        for (int i = 0; i < scenario.customerShares().size() && scenario.flood() == 0; i++) {
+            weights.put(new CustomerId("c" + i), scenario.customerShares().get(i) * 10);
+        }
+        return weights;
+    }
+
     TrueLengths truth() {
         return truth;
     }
