Add the operator console

Cause: operators edit the document by forms, compare, publish and roll back in a browser, without scripts.

Sessions are signed cookies, since entries share no memory; forms carry CSRF tokens; what was typed travels with the forms, so a conflict, an outage or an ended session loses nothing.

--- /dev/null
+++ b/console/src/main/java/io/hornbeamscale/console/ConsoleSettings.java
@@ -0,0 +1,28 @@
+package io.hornbeamscale.console;
+
+import io.hornbeamscale.core.util.Arguments;
+import java.util.Map;
+
+/**
+ * The console's settings. All entries need the same secret, so that a session works at each of them.
+ *
+ * @param operators password hashes by operator name, as {@link PasswordHash#create} gives them
+ * @param sessionSecret signs sessions, at least 32 characters
+ */
+public record ConsoleSettings(Map<String, String> operators, String sessionSecret) {
+    private static final int MIN_SECRET_CHARS = 32;
+
+    /** Checks and copies the parts. */
+    public ConsoleSettings {
+        operators = Map.copyOf(Arguments.notNull(operators, "operators"));
+        Arguments.notBlank(sessionSecret, "sessionSecret");
+        if (sessionSecret.length() < MIN_SECRET_CHARS) {
+            throw new IllegalArgumentException("sessionSecret must have at least " + MIN_SECRET_CHARS + " characters");
+        }
+        operators.forEach((name, hash) -> {
+            if (name.isBlank() || !PasswordHash.isValid(hash)) {
+                throw new IllegalArgumentException("operators." + name + " must be a password hash");
+            }
+        });
+    }
+}
--- /dev/null
+++ b/console/src/main/java/io/hornbeamscale/console/DocumentAccess.java
@@ -0,0 +1,55 @@
+package io.hornbeamscale.console;
+
+import io.hornbeamscale.core.audit.AuditEvent;
+import io.hornbeamscale.core.audit.EventReader;
+import io.hornbeamscale.core.audit.HistoryController;
+import io.hornbeamscale.core.audit.HistoryResult;
+import io.hornbeamscale.core.audit.PublishController;
+import io.hornbeamscale.core.audit.PublishRequest;
+import io.hornbeamscale.core.audit.PublishResult;
+import io.hornbeamscale.core.audit.TrailLimits;
+import io.hornbeamscale.core.document.Document;
+import io.hornbeamscale.core.error.ServingException;
+import java.security.SecureRandom;
+import java.util.List;
+import java.util.Optional;
+import java.util.UUID;
+
+/** Reads and publishes the document for the console's pages. */
+final class DocumentAccess {
+    private final StoreClient store;
+    private final SecureRandom random;
+
+    DocumentAccess(StoreClient store, SecureRandom random) {
+        this.store = store;
+        this.random = random;
+    }
+
+    /** Reads the document; throws {@link ServingException} if the store does not answer. */
+    HistoryResult.Read read(long version, int count) {
+        HistoryResult result = store.run(new HistoryController(version, count, random));
+        if (result instanceof HistoryResult.Failed failed) {
+            throw new ServingException(failed.kind(), failed.message());
+        }
+        return (HistoryResult.Read) result;
+    }
+
+    Optional<List<AuditEvent>> events() {
+        return store.run(new EventReader());
+    }
+
+    /** Publishes a document, or the content of an old version if the document is null. */
+    PublishResult publish(Visit visit, Document document, long rollbackTo) {
+        PublishRequest request = new PublishRequest(
+                UUID.randomUUID().toString(),
+                visit.session().operator(),
+                "console at " + visit.request().client(),
+                visit.nowMillis(),
+                visit.request().first("why"),
+                visit.request().number("expect"),
+                document,
+                rollbackTo,
+                visit.request().has("accept"));
+        return store.run(new PublishController(request, TrailLimits.STORE, random));
+    }
+}
--- /dev/null
+++ b/console/src/main/java/io/hornbeamscale/console/SessionTokens.java
@@ -0,0 +1,95 @@
+package io.hornbeamscale.console;
+
+import java.nio.charset.StandardCharsets;
+import java.security.GeneralSecurityException;
+import java.security.MessageDigest;
+import java.security.SecureRandom;
+import java.util.Arrays;
+import java.util.Base64;
+import java.util.HexFormat;
+import java.util.List;
+import java.util.Optional;
+import javax.crypto.Mac;
+import javax.crypto.spec.SecretKeySpec;
+
+/**
+ * Signs sessions into cookies. The entries behind the load balancer share no memory, so a cookie carries the whole
+ * session and any entry with the same secret can check it. The CSRF token is derived from the session's id.
+ */
+final class SessionTokens {
+    static final long IDLE_MILLIS = 30 * 60 * 1_000L;
+    static final long MAX_AGE_MILLIS = 8 * 60 * 60 * 1_000L;
+
+    // A cookie is renewed once it is this old, so that most responses carry none.
+    private static final long RENEW_MILLIS = 60 * 1_000L;
+    private static final int ID_BYTES = 16;
+    private static final int PARTS = 5;
+    private static final String ALGORITHM = "HmacSHA256";
+
+    private final byte[] secret;
+    private final SecureRandom random;
+
+    SessionTokens(String secret, SecureRandom random) {
+        this.secret = secret.getBytes(StandardCharsets.UTF_8);
+        this.random = random;
+    }
+
+    Session start(String operator, long nowMillis) {
+        byte[] id = new byte[ID_BYTES];
+        random.nextBytes(id);
+        return new Session(operator, HexFormat.of().formatHex(id), nowMillis, nowMillis + IDLE_MILLIS);
+    }
+
+    /** Returns the session with a later end, empty if that is not due yet or the session is too old. */
+    Optional<Session> renewed(Session session, long nowMillis) {
+        long expires = Math.min(nowMillis + IDLE_MILLIS, session.startedMillis() + MAX_AGE_MILLIS);
+        return expires - session.expiresMillis() < RENEW_MILLIS
+                ? Optional.empty()
+                : Optional.of(new Session(session.operator(), session.id(), session.startedMillis(), expires));
+    }
+
+    String cookie(Session session) {
+        String name = Base64.getUrlEncoder()
+                .withoutPadding()
+                .encodeToString(session.operator().getBytes(StandardCharsets.UTF_8));
+        String text = name + "." + session.id() + "." + session.startedMillis() + "." + session.expiresMillis();
+        return text + "." + sign("session:" + text);
+    }
+
+    Optional<Session> read(String cookie, long nowMillis) {
+        if (cookie == null) {
+            return Optional.empty();
+        }
+        List<String> parts = Arrays.asList(cookie.split("\\.", -1));
+        int end = cookie.lastIndexOf('.');
+        if (parts.size() != PARTS || !isEqual(parts.get(PARTS - 1), sign("session:" + cookie.substring(0, end)))) {
+            return Optional.empty();
+        }
+        String operator = new String(Base64.getUrlDecoder().decode(parts.get(0)), StandardCharsets.UTF_8);
+        Session session =
+                new Session(operator, parts.get(1), Long.parseLong(parts.get(2)), Long.parseLong(parts.get(3)));
+        return nowMillis < session.expiresMillis() ? Optional.of(session) : Optional.empty();
+    }
+
+    String csrf(Session session) {
+        return sign("csrf:" + session.id());
+    }
+
+    boolean isCsrf(Session session, String token) {
+        return isEqual(token, csrf(session));
+    }
+
+    private static boolean isEqual(String left, String right) {
+        return MessageDigest.isEqual(left.getBytes(StandardCharsets.UTF_8), right.getBytes(StandardCharsets.UTF_8));
+    }
+
+    private String sign(String text) {
+        try {
+            Mac mac = Mac.getInstance(ALGORITHM);
+            mac.init(new SecretKeySpec(secret, ALGORITHM));
+            return HexFormat.of().formatHex(mac.doFinal(text.getBytes(StandardCharsets.UTF_8)));
+        } catch (GeneralSecurityException e) {
+            throw new IllegalStateException(ALGORITHM + " is missing from this Java runtime", e);
+        }
+    }
+}
--- /dev/null
+++ b/console/src/test/java/io/hornbeamscale/console/ConsoleClient.java
@@ -0,0 +1,101 @@
+package io.hornbeamscale.console;
+
+import io.hornbeamscale.core.audit.PublishController;
+import io.hornbeamscale.core.audit.PublishRequest;
+import io.hornbeamscale.core.audit.PublishResult;
+import io.hornbeamscale.core.audit.TrailLimits;
+import io.hornbeamscale.core.document.Document;
+import io.hornbeamscale.core.document.DocumentYaml;
+import io.hornbeamscale.platform.FakeKeyValueStore;
+import java.io.IOException;
+import java.io.UncheckedIOException;
+import java.nio.file.Files;
+import java.nio.file.Path;
+import java.security.SecureRandom;
+import java.util.ArrayList;
+import java.util.LinkedHashMap;
+import java.util.List;
+import java.util.Map;
+import java.util.Random;
+import java.util.regex.Matcher;
+import java.util.regex.Pattern;
+
+/** Drives the console in tests as a browser without scripts does. */
+final class ConsoleClient {
+    static final String PASSWORD = "correct horse";
+    static final String HASH = PasswordHash.create(PASSWORD, new SecureRandom(), PasswordHash.MIN_ITERATIONS);
+    private static final Pattern HIDDEN =
+            Pattern.compile("<input type=\"hidden\" name=\"([^\"]+)\" value=\"([^\"]*)\">");
+
+    final FakeKeyValueStore store = new FakeKeyValueStore(() -> 0);
+    final Console console;
+    long now = 1_000_000;
+    String cookie;
+    ConsoleResponse last;
+
+    ConsoleClient() {
+        ConsoleSettings settings = new ConsoleSettings(Map.of("nadia", HASH), "0123456789abcdef0123456789abcdef");
+        console = new Console(settings, new StoreClient(store), new SecureRandom());
+    }
+
+    static Document tours() {
+        try {
+            return DocumentYaml.read(Files.readString(Path.of("../examples/tours.yaml")))
+                    .document();
+        } catch (IOException e) {
+            throw new UncheckedIOException(e);
+        }
+    }
+
+    /** Publishes as another operator would. */
+    PublishResult publish(long expect, Document document) {
+        PublishRequest request =
+                new PublishRequest("w-" + expect, "omar", "test", now, "by omar", expect, document, 0, true);
+        return new StoreClient(store).run(new PublishController(request, TrailLimits.STORE, new Random(5)));
+    }
+
+    ConsoleClient signedIn() {
+        post("/console/login", Map.of("operator", "nadia", "password", PASSWORD, "next", "/console/"));
+        return this;
+    }
+
+    ConsoleResponse get(String path) {
+        return send(new ConsoleRequest("GET", path, Map.of(), cookie, "10.0.0.9", false));
+    }
+
+    ConsoleResponse post(String path, Map<String, String> fields) {
+        Map<String, List<String>> all = new LinkedHashMap<>();
+        fields.forEach((name, value) -> all.put(name, List.of(value)));
+        return send(new ConsoleRequest("POST", path, all, cookie, "10.0.0.9", false));
+    }
+
+    ConsoleResponse send(ConsoleRequest request) {
+        last = console.handle(request, now);
+        if (last.cookie() != null) {
+            cookie = last.cookie().isEmpty() ? null : last.cookie();
+        }
+        return last;
+    }
+
+    /** Returns the hidden fields of the last page with more fields; a field may repeat. */
+    ConsoleResponse submit(String path, Map<String, List<String>> typed) {
+        Map<String, List<String>> fields = hidden();
+        fields.putAll(typed);
+        return send(new ConsoleRequest("POST", path, fields, cookie, "10.0.0.9", false));
+    }
+
+    Map<String, List<String>> hidden() {
+        Map<String, List<String>> fields = new LinkedHashMap<>();
+        Matcher matcher = HIDDEN.matcher(last.body());
+        while (matcher.find()) {
+            if (!matcher.group(1).equals("csrf") || !fields.containsKey("csrf")) {
+                fields.merge(matcher.group(1), List.of(matcher.group(2)), (a, b) -> {
+                    List<String> more = new ArrayList<>(a);
+                    more.addAll(b);
+                    return more;
+                });
+            }
+        }
+        return fields;
+    }
+}
