--- a/console/src/main/java/io/hornbeamscale/console/EditPages.java
+++ b/console/src/main/java/io/hornbeamscale/console/EditPages.java
@@ -1,5 +1,6 @@
 package io.hornbeamscale.console;
 
+import io.hornbeamscale.core.audit.AuditRecord;
 import io.hornbeamscale.core.audit.ChangeLines;
 import io.hornbeamscale.core.audit.HistoryResult;
 import io.hornbeamscale.core.audit.PublishResult;
@@ -9,6 +10,7 @@
 import io.hornbeamscale.core.document.DocumentDiff;
 import io.hornbeamscale.core.document.EntityField;
 import io.hornbeamscale.core.document.EntityKind;
+import io.hornbeamscale.core.document.FieldShape;
 import io.hornbeamscale.core.document.KeyDigest;
 import io.hornbeamscale.core.document.Problem;
 import io.hornbeamscale.core.document.ReadResult;
@@ -27,6 +29,7 @@
     private static final String NEW_KEY = "newKey";
     private static final String NEW = "new";
     private static final int KEY_BYTES = 32;
+    private static final int MAX_RECORDS = 50;
     private static final int INVALID =
             ErrorAnswers.of(ErrorKind.INVALID_DOCUMENT).httpStatus();
     private static final int CONFLICT =
@@ -80,6 +83,9 @@
 
     private static String cell(EntityField field, Record entry) {
         List<String> texts = field.textsOf(entry);
+        if (field.shape() == FieldShape.FLAG) {
+            return texts.get(0).equals("true") ? "yes" : "no";
+        }
         return field.name().equals("keyHashes") ? Integer.toString(texts.size()) : String.join(", ", texts);
     }
 
@@ -140,16 +146,20 @@
         }
         DocumentDiff mine = DocumentDiff.between(base, result.document());
         if (read.head().version() != expect) {
-            DocumentDiff theirs = DocumentDiff.between(base, read.head().document());
-            return conflict(
-                    visit,
-                    form,
-                    new PublishResult.Conflict(
-                            expect, read.head().version(), mine, theirs, mine.overlap(theirs), List.of()));
+            return conflict(visit, form, conflict(base, read, expect, mine));
         }
         return review(visit, form, mine, ChangeWarnings.of(mine), "", 200);
     }
 
+    private PublishResult.Conflict conflict(Document base, HistoryResult.Read read, long expect, DocumentDiff mine) {
+        long current = read.head().version();
+        DocumentDiff theirs = DocumentDiff.between(base, read.head().document());
+        List<AuditRecord> records = documents
+                .read(0, (int) Math.min(MAX_RECORDS, Math.max(0, current - expect)))
+                .records();
+        return new PublishResult.Conflict(expect, current, mine, theirs, mine.overlap(theirs), records);
+    }
+
     private ConsoleResponse review(
             Visit visit, EntityForm form, DocumentDiff diff, List<ChangeWarning> warnings, String problem, int status) {
         Model model = kept(Model.of(visit, "Compare and publish"), visit, form)
--- a/console/src/main/resources/io/hornbeamscale/console/pages/list.ftlh
+++ b/console/src/main/resources/io/hornbeamscale/console/pages/list.ftlh
@@ -3,7 +3,7 @@
   <p>${rows?size} in version ${version}. <a class="button" href="/console/${section.key}/new">Add a ${section.singular}</a></p>
   <#if rows?has_content>
   <div class="scroll" tabindex="0" role="region" aria-label="${section.title}">
-  <table>
+  <table class="${(section.key == "backends")?then("short", "")}">
     <thead><tr><#list columns as column><th scope="col">${column}</th></#list></tr></thead>
     <tbody>
       <#list rows as row>
