--- /dev/null
+++ b/daemon/src/main/java/io/hornbeamscale/daemon/Settings.java
@@ -0,0 +1,126 @@
+package io.hornbeamscale.daemon;
+
+import com.fasterxml.jackson.databind.JsonNode;
+import java.net.InetSocketAddress;
+import java.net.URI;
+import java.nio.file.Path;
+import java.util.ArrayList;
+import java.util.Iterator;
+import java.util.List;
+import java.util.Set;
+import java.util.TreeSet;
+
+/** Reads one settings file as a whole and collects every error with file, key, value and what is allowed. */
+final class Settings {
+    private final Path file;
+    private final JsonNode root;
+    private final List<String> errors = new ArrayList<>();
+    private final Set<String> known = new TreeSet<>();
+
+    Settings(Path file, JsonNode root) {
+        this.file = file;
+        this.root = root;
+    }
+
+    /** Returns a text that must be present and match a pattern. */
+    String text(String key, String pattern, String allowed) {
+        String value = value(key);
+        if (value == null || !value.matches(pattern)) {
+            error(key, value, allowed);
+            return "";
+        }
+        return value;
+    }
+
+    /** Returns a text, or a default if the key is absent. */
+    String text(String key, String pattern, String allowed, String fallback) {
+        known.add(key);
+        return root.has(key) ? text(key, pattern, allowed) : fallback;
+    }
+
+    /** Returns an address that must be present. */
+    InetSocketAddress address(String key) {
+        String value = value(key);
+        InetSocketAddress address = value == null ? null : Addresses.parse(value);
+        if (address == null) {
+            error(key, value, "an IP address and a port from 0 to 65535, such as 127.0.0.1:8080");
+            return Addresses.loopback(0);
+        }
+        return address;
+    }
+
+    /** Returns the addresses of a list, empty if the key is absent. */
+    List<InetSocketAddress> addresses(String key) {
+        known.add(key);
+        List<InetSocketAddress> addresses = new ArrayList<>();
+        JsonNode node = root.path(key);
+        if (node.isMissingNode()) {
+            return addresses;
+        }
+        if (!node.isArray()) {
+            error(key, node.toString(), "a list of IP addresses with ports");
+            return addresses;
+        }
+        for (JsonNode item : node) {
+            InetSocketAddress address = Addresses.parse(item.asText());
+            if (address == null) {
+                error(key, item.asText(), "a list of IP addresses with ports, such as 127.0.0.1:8080");
+            } else {
+                addresses.add(address);
+            }
+        }
+        return addresses;
+    }
+
+    /** Returns the URI of an HTTP server, null if the key is absent and not required. */
+    URI uri(String key, boolean isRequired) {
+        known.add(key);
+        if (!isRequired && !root.has(key)) {
+            return null;
+        }
+        String value = value(key);
+        if (value == null || !value.matches("http://[0-9.]+:[0-9]{1,5}")) {
+            error(key, value, "the address of an HTTP server, such as http://127.0.0.1:9000");
+            return null;
+        }
+        return URI.create(value);
+    }
+
+    /** Returns a whole number within a range, or a default if the key is absent. */
+    long number(String key, long min, long max, long fallback) {
+        known.add(key);
+        if (!root.has(key)) {
+            return fallback;
+        }
+        JsonNode node = root.get(key);
+        if (!node.isIntegralNumber() || node.asLong() < min || node.asLong() > max) {
+            error(key, node.asText(), "a whole number from " + min + " to " + max);
+            return fallback;
+        }
+        return node.asLong();
+    }
+
+    /** Throws one exception with all errors, including keys that no one asked for. */
+    void check() {
+        for (Iterator<String> names = root.fieldNames(); names.hasNext(); ) {
+            String name = names.next();
+            if (!known.contains(name)) {
+                error(name, root.get(name).asText(), "one of the keys " + String.join(", ", known));
+            }
+        }
+        if (!errors.isEmpty()) {
+            throw new SettingsException(errors);
+        }
+    }
+
+    private String value(String key) {
+        known.add(key);
+        JsonNode node = root.path(key);
+        return node.isValueNode() && !node.isNull() ? node.asText() : null;
+    }
+
+    private void error(String key, String value, String allowed) {
+        String shown = value == null ? "no value" : "value '" + value + "'";
+        errors.add(file + ": key '" + key + "' has " + shown + "; allowed is " + allowed);
+    }
+}
--- a/measure/src/main/java/io/hornbeamscale/measure/sim/Trace.java
+++ b/measure/src/main/java/io/hornbeamscale/measure/sim/Trace.java
@@ -17,6 +17,7 @@
 
     private final Scenario scenario;
     private final Random random;
+    private double swell;
     private final List<RequestSpec> specs = new ArrayList<>();
 
     private Trace(Scenario scenario, long seed) {
@@ -34,8 +35,9 @@
     private void generate() {
         double capacity = scenario.capacity() * scenario.runners().size();
         double rate = scenario.load() * capacity / offeredMean();
+        double[] gusts = gusts();
         for (int second = 0; second < scenario.seconds(); second++) {
-            double factor = scenario.isCrest(second) ? 4 : gust();
+            double factor = scenario.isCrest(second) ? 4 : gusts[second];
             arrivals(second, rate * factor, -1);
             if (scenario.flood() > 0 && second >= Scenario.WARM_UP_SECONDS) {
                 arrivals(second, scenario.flood() * capacity / scenario.meanOutput(), 0);
@@ -66,9 +68,27 @@
         }
     }
 
+    /** Factors with mean 1 over the run, so that each seed offers the stated load. */
+    private double[] gusts() {
+        double[] gusts = new double[scenario.seconds()];
+        double sum = 0;
+        for (int i = 0; i < gusts.length; i++) {
+            gusts[i] = gust();
+            sum += gusts[i];
+        }
+        for (int i = 0; i < gusts.length; i++) {
+            gusts[i] *= gusts.length / sum;
+        }
+        return gusts;
+    }
+
+    /** Varies from second to second, and over about ten seconds. */
     private double gust() {
-        double sigma = 0.35;
-        return Math.exp(sigma * random.nextGaussian() - sigma * sigma / 2);
+        double keep = 0.9;
+        swell = keep * swell + Math.sqrt(1 - keep * keep) * random.nextGaussian();
+        double quick = random.nextGaussian();
+        double sigma = 0.25;
+        return Math.exp(sigma * (swell + quick) - sigma * sigma);
     }
 
     private void arrivals(int second, double rate, int customer) {
