--- /dev/null
+++ b/core/src/main/java/io/hornbeamscale/core/dispatch/BackendTable.java
@@ -0,0 +1,92 @@
+package io.hornbeamscale.core.dispatch;
+
+import io.hornbeamscale.core.id.BackendId;
+import io.hornbeamscale.core.id.RegionId;
+import io.hornbeamscale.core.work.BackendStatus;
+import io.hornbeamscale.core.work.WorkItem;
+import java.util.ArrayList;
+import java.util.HashMap;
+import java.util.HashSet;
+import java.util.List;
+import java.util.Map;
+import java.util.Set;
+
+/** What one entry knows about the backend servers that it watches. */
+final class BackendTable {
+    private final Map<BackendId, BackendState> byId = new HashMap<>();
+    private final List<BackendState> all = new ArrayList<>();
+    private final List<BackendState> near = new ArrayList<>();
+    private final List<BackendState> far = new ArrayList<>();
+    private final RegionId region;
+    private boolean isPlaced;
+
+    BackendTable(RegionId region) {
+        this.region = region;
+    }
+
+    void watch(List<BackendPlace> places) {
+        isPlaced = true;
+        Set<BackendId> kept = new HashSet<>();
+        for (BackendPlace p : places) {
+            kept.add(p.backend());
+            BackendState s = byId.get(p.backend());
+            if (s == null) {
+                s = add(p.backend());
+            }
+            s.place = p;
+        }
+        all.removeIf(s -> s.place == null || !kept.contains(s.backend));
+        byId.keySet().retainAll(kept);
+        near.clear();
+        far.clear();
+        for (BackendState s : all) {
+            (s.place.region().equals(region) ? near : far).add(s);
+        }
+    }
+
+    void status(BackendStatus status, long nowMillis) {
+        BackendState s = byId.get(status.backend());
+        if (s == null) {
+            if (isPlaced) {
+                return;
+            }
+            s = add(status.backend());
+            near.add(s);
+        }
+        s.update(status, nowMillis);
+    }
+
+    private BackendState add(BackendId backend) {
+        BackendState s = new BackendState(backend);
+        byId.put(backend, s);
+        all.add(s);
+        return s;
+    }
+
+    BackendState get(BackendId backend) {
+        return byId.get(backend);
+    }
+
+    /** Returns the servers of the entry's own region, never null. */
+    List<BackendState> near() {
+        return near;
+    }
+
+    /** Returns the servers of other regions, never null. */
+    List<BackendState> far() {
+        return far;
+    }
+
+    List<BackendState> all() {
+        return all;
+    }
+
+    boolean isServed(WorkItem work) {
+        for (BackendState s : all) {
+            if (s.serves(work) && s.isConnected) {
+                return true;
+            }
+        }
+        return false;
+    }
+}
--- /dev/null
+++ b/core/src/main/java/io/hornbeamscale/core/schedule/FairCounters.java
@@ -0,0 +1,77 @@
+package io.hornbeamscale.core.schedule;
+
+import io.hornbeamscale.core.id.CustomerId;
+import java.util.HashMap;
+import java.util.Map;
+
+/**
+ * Virtual token counters: a customer's counter grows by its tokens divided by its weight, and the customer with the
+ * least counter goes first. A customer that returns from a pause starts at the least active counter, so that a pause
+ * earns no credit.
+ */
+final class FairCounters {
+    private static final int MAX_CUSTOMERS = 1_000;
+
+    private final Map<CustomerId, Double> weights = new HashMap<>();
+    private final Map<CustomerId, Counter> counters = new HashMap<>();
+    /** The counter of the customer that last had nothing waiting any more. */
+    private double lastLeft;
+
+    void weights(Map<CustomerId, Double> next) {
+        weights.clear();
+        weights.putAll(next);
+    }
+
+    /** Notes that a customer has one more waiting request. */
+    void enter(CustomerId customer) {
+        Counter c = counters.computeIfAbsent(customer, k -> new Counter());
+        if (c.waiting == 0) {
+            c.value = Math.max(c.value, leastWaiting());
+        }
+        c.waiting++;
+    }
+
+    private double leastWaiting() {
+        double least = Double.MAX_VALUE;
+        for (Counter c : counters.values()) {
+            if (c.waiting > 0) {
+                least = Math.min(least, c.value);
+            }
+        }
+        return least < Double.MAX_VALUE ? least : lastLeft;
+    }
+
+    /** Notes that a request of the customer no longer waits. */
+    void leave(CustomerId customer) {
+        Counter c = counters.get(customer);
+        c.waiting--;
+        if (c.waiting == 0) {
+            lastLeft = c.value;
+        }
+    }
+
+    /** Forgets a customer that has nothing waiting or running, so that the table stays small. */
+    void forget(CustomerId customer) {
+        Counter c = counters.get(customer);
+        if (c != null && c.waiting == 0 && counters.size() > MAX_CUSTOMERS) {
+            counters.remove(customer);
+        }
+    }
+
+    void charge(CustomerId customer, double tokens) {
+        Counter c = counters.get(customer);
+        if (c != null) {
+            c.value += tokens / weights.getOrDefault(customer, 1.0);
+        }
+    }
+
+    double value(CustomerId customer) {
+        Counter c = counters.get(customer);
+        return c == null ? 0 : c.value;
+    }
+
+    private static final class Counter {
+        double value;
+        int waiting;
+    }
+}
--- /dev/null
+++ b/daemon/src/main/java/io/hornbeamscale/daemon/CallerWatch.java
@@ -0,0 +1,48 @@
+package io.hornbeamscale.daemon;
+
+import io.undertow.connector.PooledByteBuffer;
+import io.undertow.server.HttpServerExchange;
+import io.undertow.server.protocol.http.HttpServerConnection;
+import java.io.IOException;
+import org.xnio.IoUtils;
+import org.xnio.conduits.ConduitStreamSourceChannel;
+
+/**
+ * Notices a caller that closes its connection while it waits for a response. Undertow itself does not read from the
+ * connection during an exchange.
+ */
+final class CallerWatch {
+    private CallerWatch() {}
+
+    /** Watches the connection of an exchange whose request was read in full. Runs on the I/O thread. */
+    static void start(HttpServerExchange exchange) {
+        if (exchange.getConnection() instanceof HttpServerConnection connection && connection.getExtraBytes() == null) {
+            ConduitStreamSourceChannel source = connection.getChannel().getSourceChannel();
+            source.setReadListener(channel -> readable(connection, channel));
+            source.resumeReads();
+        }
+    }
+
+    private static void readable(HttpServerConnection connection, ConduitStreamSourceChannel source) {
+        PooledByteBuffer pooled = connection.getByteBufferPool().allocate();
+        boolean isKept = false;
+        try {
+            int count = connection.getOriginalSourceConduit().read(pooled.getBuffer());
+            if (count < 0) {
+                IoUtils.safeClose(connection);
+            } else if (count > 0) {
+                // A pipelined request; Undertow parses it after this exchange.
+                pooled.getBuffer().flip();
+                connection.ungetRequestBytes(pooled);
+                isKept = true;
+                source.suspendReads();
+            }
+        } catch (IOException e) {
+            IoUtils.safeClose(connection);
+        } finally {
+            if (!isKept) {
+                pooled.close();
+            }
+        }
+    }
+}
--- /dev/null
+++ b/daemon/src/main/java/io/hornbeamscale/daemon/HttpCaller.java
@@ -0,0 +1,204 @@
+package io.hornbeamscale.daemon;
+
+import io.undertow.client.ClientCallback;
+import io.undertow.client.ClientConnection;
+import io.undertow.client.ClientExchange;
+import io.undertow.client.ClientRequest;
+import io.undertow.client.UndertowClient;
+import io.undertow.connector.ByteBufferPool;
+import io.undertow.server.DefaultByteBufferPool;
+import io.undertow.util.Headers;
+import io.undertow.util.HttpString;
+import java.io.IOException;
+import java.net.URI;
+import java.nio.ByteBuffer;
+import java.util.Deque;
+import java.util.Map;
+import java.util.concurrent.ConcurrentLinkedDeque;
+import org.xnio.ChannelListeners;
+import org.xnio.IoUtils;
+import org.xnio.OptionMap;
+import org.xnio.XnioWorker;
+import org.xnio.channels.StreamSinkChannel;
+import org.xnio.channels.StreamSourceChannel;
+
+/**
+ * Calls one HTTP server. Connections are reused after a complete response, except for calls that must not be repeated:
+ * a server may close an idle connection at any moment, and a failed write would leave the outcome unknown.
+ */
+final class HttpCaller {
+    private static final int BUFFER_BYTES = 16 * 1024;
+    private static final int MAX_IDLE = 64;
+
+    private final URI server;
+    private final XnioWorker worker;
+    private final ByteBufferPool pool = new DefaultByteBufferPool(false, BUFFER_BYTES);
+    private final Deque<ClientConnection> idle = new ConcurrentLinkedDeque<>();
+
+    HttpCaller(URI server, XnioWorker worker) {
+        this.server = server;
+        this.worker = worker;
+    }
+
+    /** Starts a call; the listener hears about it on I/O threads. */
+    HttpCall call(String method, String path, Map<String, String> headers, byte[] body, boolean mayReuse, Listener l) {
+        HttpCall call = new HttpCall(l);
+        ClientConnection connection = mayReuse ? takeIdle() : null;
+        if (connection != null) {
+            ClientConnection found = connection;
+            found.getIoThread().execute(() -> send(found, call, method, path, headers, body));
+            return call;
+        }
+        UndertowClient.getInstance()
+                .connect(
+                        new ClientCallback<ClientConnection>() {
+                            @Override
+                            public void completed(ClientConnection result) {
+                                send(result, call, method, path, headers, body);
+                            }
+
+                            @Override
+                            public void failed(IOException e) {
+                                call.notConnected(e);
+                            }
+                        },
+                        server,
+                        worker,
+                        pool,
+                        OptionMap.EMPTY);
+        return call;
+    }
+
+    private ClientConnection takeIdle() {
+        for (ClientConnection c = idle.pollLast(); c != null; c = idle.pollLast()) {
+            if (c.isOpen()) {
+                return c;
+            }
+        }
+        return null;
+    }
+
+    private void send(
+            ClientConnection connection,
+            HttpCall call,
+            String method,
+            String path,
+            Map<String, String> headers,
+            byte[] body) {
+        if (!call.connected(connection)) {
+            return;
+        }
+        ClientRequest request =
+                new ClientRequest().setMethod(new HttpString(method)).setPath(path);
+        headers.forEach((name, value) -> request.getRequestHeaders().put(new HttpString(name), value));
+        request.getRequestHeaders().put(Headers.HOST, server.getAuthority());
+        if (body.length > 0) {
+            request.getRequestHeaders().put(Headers.CONTENT_LENGTH, body.length);
+        }
+        connection.sendRequest(request, new ClientCallback<>() {
+            @Override
+            public void completed(ClientExchange exchange) {
+                exchange.setResponseListener(new ResponseStart(connection, call));
+                write(exchange.getRequestChannel(), ByteBuffer.wrap(body), call);
+            }
+
+            @Override
+            public void failed(IOException e) {
+                call.broken(e);
+            }
+        });
+    }
+
+    private static void write(StreamSinkChannel sink, ByteBuffer body, HttpCall call) {
+        try {
+            while (body.hasRemaining()) {
+                if (sink.write(body) == 0) {
+                    sink.getWriteSetter().set(channel -> write(sink, body, call));
+                    sink.resumeWrites();
+                    return;
+                }
+            }
+            sink.shutdownWrites();
+            if (!sink.flush()) {
+                sink.getWriteSetter()
+                        .set(ChannelListeners.flushingChannelListener(null, (channel, e) -> call.broken(e)));
+                sink.resumeWrites();
+            }
+        } catch (IOException e) {
+            call.broken(e);
+        }
+    }
+
+    private final class ResponseStart implements ClientCallback<ClientExchange> {
+        private final ClientConnection connection;
+        private final HttpCall call;
+
+        ResponseStart(ClientConnection connection, HttpCall call) {
+            this.connection = connection;
+            this.call = call;
+        }
+
+        @Override
+        public void completed(ClientExchange exchange) {
+            call.head(exchange.getResponse());
+            StreamSourceChannel source = exchange.getResponseChannel();
+            ByteBuffer buffer = ByteBuffer.allocate(BUFFER_BYTES);
+            source.getReadSetter().set(channel -> read(source, buffer));
+            read(source, buffer);
+        }
+
+        @Override
+        public void failed(IOException e) {
+            call.broken(e);
+        }
+
+        private void read(StreamSourceChannel source, ByteBuffer buffer) {
+            try {
+                while (true) {
+                    buffer.clear();
+                    int count = source.read(buffer);
+                    if (count == 0) {
+                        source.resumeReads();
+                        return;
+                    }
+                    if (count < 0) {
+                        release();
+                        call.complete();
+                        return;
+                    }
+                    buffer.flip();
+                    call.body(buffer);
+                }
+            } catch (IOException e) {
+                IoUtils.safeClose(connection);
+                call.broken(e);
+            }
+        }
+
+        private void release() {
+            if (connection.isOpen() && idle.size() < MAX_IDLE) {
+                idle.addLast(connection);
+            } else {
+                IoUtils.safeClose(connection);
+            }
+        }
+    }
+
+    /** Receives the events of one call: {@code head}, {@code body} any number of times, then one of the other three. */
+    interface Listener {
+        /** The server answered with a status and headers. */
+        void head(int status, Map<String, String> headers);
+
+        /** Bytes of the body arrived; the buffer is valid during the call only. */
+        void body(ByteBuffer bytes);
+
+        /** The response is complete. */
+        void complete();
+
+        /** No connection could be established, so the server has not seen the call. */
+        void notConnected(IOException e);
+
+        /** The call failed after a connection was established. */
+        void broken(IOException e);
+    }
+}
--- /dev/null
+++ b/wire/src/main/java/io/hornbeamscale/wire/message/Ack.java
@@ -0,0 +1,26 @@
+package io.hornbeamscale.wire.message;
+
+import com.fasterxml.jackson.annotation.JsonProperty;
+import io.hornbeamscale.core.util.Arguments;
+
+/**
+ * Acknowledges tokens up to an offset.
+ *
+ * @param request the request, not blank
+ * @param attempt the number of the attempt, from 1
+ * @param generation the generation, not blank
+ * @param offset the number of tokens that need not be retained
+ */
+public record Ack(
+        @JsonProperty("r") String request,
+        @JsonProperty("a") int attempt,
+        @JsonProperty("g") String generation,
+        @JsonProperty("o") long offset)
+        implements AttemptMessage {
+    /** Checks required fields and replaces missing optional ones. */
+    public Ack {
+        Arguments.notBlank(request, "request");
+        Arguments.positive(attempt, "attempt");
+        Arguments.notBlank(generation, "generation");
+    }
+}
--- /dev/null
+++ b/wire/src/main/java/io/hornbeamscale/wire/message/ClaimAnswer.java
@@ -0,0 +1,17 @@
+package io.hornbeamscale.wire.message;
+
+import com.fasterxml.jackson.annotation.JsonProperty;
+
+/**
+ * Answers a forwarded claim.
+ *
+ * @param id identifies the exchange
+ * @param content the content as JSON; null means empty
+ */
+public record ClaimAnswer(
+        @JsonProperty("i") long id, @JsonProperty("x") String content) implements Message {
+    /** Checks required fields and replaces missing optional ones. */
+    public ClaimAnswer {
+        content = content == null ? "" : content;
+    }
+}
