Test long outages and the availability of calls without a claim

At its limit an entry ended resumable streams with generation_lost.

Change: harness tests per store fault and for a cut-off region, a three-hour outage for ClaimController, tests of HandOverRecord and ResultBuffer; DrainController tells streams that can be resumed elsewhere apart.

Conclusion: the per-kind behaviour in docs/GUARANTEES.md is backed by tests.

--- a/core/src/main/java/io/hornbeamscale/core/drain/DrainController.java
+++ b/core/src/main/java/io/hornbeamscale/core/drain/DrainController.java
@@ -20,6 +20,7 @@
     static final long RECLAIM_MARGIN_MILLIS = 500;
 
     private final long drainMillis;
+    private final boolean isResumableElsewhere;
     private final Set<AttemptId> givenUp = new HashSet<>();
     private boolean isDraining;
     private boolean isReclaimed;
@@ -29,12 +30,24 @@
     private long deadlineMillis = Long.MAX_VALUE;
 
     /**
-     * Creates a controller of a process that stays.
+     * Creates a controller of a process that stays, whose streams are lost with it.
      *
      * @param drainMillis the operators' limit for a graceful stop, in milliseconds
      */
     public DrainController(long drainMillis) {
+        this(drainMillis, false);
+    }
+
+    /**
+     * Creates a controller of a process that stays.
+     *
+     * @param drainMillis the operators' limit for a graceful stop, in milliseconds
+     * @param isResumableElsewhere whether callers can resume streams at another process, as is the case for an entry;
+     *     such streams end with {@code draining} instead of {@code generation_lost} at the limit
+     */
+    public DrainController(long drainMillis, boolean isResumableElsewhere) {
         this.drainMillis = Arguments.notNegative(drainMillis, "drainMillis");
+        this.isResumableElsewhere = isResumableElsewhere;
     }
 
     /**
@@ -137,11 +150,14 @@
         }
         isComplete = false;
         if (work.isRepeatable()) {
-            actions.add(
-                    new DrainAction.EndWork(work.attempt(), ErrorKind.GENERATION_LOST, RunOutcome.RAN, work.offset()));
+            actions.add(new DrainAction.EndWork(work.attempt(), lostKind(), RunOutcome.RAN, work.offset()));
         } else {
             actions.add(new DrainAction.EndWork(
                     work.attempt(), ErrorKind.OUTCOME_UNKNOWN, RunOutcome.UNKNOWN, work.offset()));
         }
     }
+
+    private ErrorKind lostKind() {
+        return isResumableElsewhere ? ErrorKind.DRAINING : ErrorKind.GENERATION_LOST;
+    }
 }
--- a/core/src/test/java/io/hornbeamscale/core/claim/ClaimControllerTest.java
+++ b/core/src/test/java/io/hornbeamscale/core/claim/ClaimControllerTest.java
@@ -156,6 +156,45 @@
         }
     }
 
+    @Nested
+    class LongOutage {
+        private static final int CALLS = 3_000;
+
+        private void callFor(long hours) {
+            for (int number = 1; number <= CALLS; number++) {
+                now += hours * 3_600_000 / CALLS;
+                ClaimCall call = new ClaimCall(new ClaimKey("k" + number), "body", owner(number), null, now + 9_000);
+                first.pump(first.controller.claim(call, now));
+                first.pump(first.controller.tick(now));
+            }
+            first.runUntil(now + 2_100);
+        }
+
+        @Test
+        void refusesEveryClaimAndGrantsAgainAfterwards() {
+            first.fault = StoreFault.LOST_CALLS;
+            callFor(3);
+            assertEquals(CALLS, first.controller.counters().asked());
+            assertEquals(CALLS, first.controller.counters().unavailable());
+            first.fault = StoreFault.NONE;
+            List<ClaimAction> actions = new ArrayList<>(first.claim(owner(CALLS + 1), "body"));
+            actions.addAll(first.runUntil(now + 1_900));
+            assertEquals(List.of(new ClaimAction.Proceed(owner(CALLS + 1))), actions);
+        }
+
+        @Test
+        void keepsABoundedNumberOfResults() {
+            first.fault = StoreFault.LOST_CALLS;
+            for (int number = 1; number <= CALLS; number++) {
+                ClaimKey key = new ClaimKey("k" + number);
+                first.pump(first.controller.finished(key, owner(number), RESULT, now));
+            }
+            assertEquals(
+                    CALLS - ClaimController.MAX_BACKLOG,
+                    first.controller.counters().lostResults());
+        }
+    }
+
     @Nested
     class Holder {
         private List<ClaimAction> ask(AttemptState state, ClaimResult result) {
--- a/core/src/test/java/io/hornbeamscale/core/drain/DrainControllerTest.java
+++ b/core/src/test/java/io/hornbeamscale/core/drain/DrainControllerTest.java
@@ -53,6 +53,18 @@
         }
     }
 
+    @Nested
+    class AtAnEntry {
+        @Test
+        void tellsThatTheStreamCanBeResumedElsewhere() {
+            DrainController drain = new DrainController(1_000, true);
+            drain.leaving(DrainSign.STOP_REQUESTED, 0);
+            assertEquals(
+                    List.of(new DrainAction.EndWork(ATTEMPT, ErrorKind.DRAINING, RunOutcome.RAN, 9)),
+                    drain.progress(List.of(work(true, true, 10)), 0, 1_000));
+        }
+    }
+
     @Nested
     class Reclaim {
         @Test
--- a/core/src/test/java/io/hornbeamscale/core/faults/FaultHarnessTest.java
+++ b/core/src/test/java/io/hornbeamscale/core/faults/FaultHarnessTest.java
@@ -10,6 +10,7 @@
 import org.junit.jupiter.api.Test;
 import org.junit.jupiter.params.ParameterizedTest;
 import org.junit.jupiter.params.provider.CsvSource;
+import org.junit.jupiter.params.provider.EnumSource;
 import org.junit.jupiter.params.provider.ValueSource;
 
 /** Guards against interleavings of faults that break a guarantee, and against a harness that cannot see it. */
@@ -37,6 +38,34 @@
         }
     }
 
+    @Nested
+    class Availability {
+        /** Calls that need no claim must not notice the store. */
+        @ParameterizedTest
+        @EnumSource(
+                value = Fault.class,
+                names = {"STORE_DOWN", "STORE_SLOW", "STORE_REPLY_LOST", "STORE_WRITE_LATE"})
+        void ofCallsWithoutAClaimDoesNotDependOnTheStore(Fault fault) {
+            Figures figures = FaultRun.run(1, 1_000, Defect.NONE, EnumSet.of(fault));
+            assertEquals(0, figures.violations());
+            for (CallKind kind : CallKind.values()) {
+                if (kind != CallKind.KEYED) {
+                    assertEquals(0, figures.notServed(fault, kind), kind + " during " + fault);
+                }
+            }
+        }
+
+        /** A region without the store still serves what needs no claim. */
+        @Test
+        void survivesTheLossOfTheLinkBetweenRegions() {
+            Figures figures = FaultRun.run(1, 1_000, Defect.NONE, EnumSet.of(Fault.REGION_CUT_OFF));
+            assertEquals(0, figures.violations());
+            for (CallKind kind : List.of(CallKind.WHOLE, CallKind.STREAM_OR_RESTART, CallKind.READ)) {
+                assertEquals(0, figures.notServed(Fault.REGION_CUT_OFF, kind), kind.name());
+            }
+        }
+    }
+
     @Nested
     class BrokenControllers {
         private static final int MAX_SEEDS = 5_000;
--- a/core/src/test/java/io/hornbeamscale/core/faults/Figures.java
+++ b/core/src/test/java/io/hornbeamscale/core/faults/Figures.java
@@ -48,6 +48,10 @@
         counts[2] = isServed ? Math.max(counts[2], millis) : counts[2];
     }
 
+    long notServed(Fault fault, CallKind kind) {
+        return availability.getOrDefault(fault + " " + kind, new long[3])[1];
+    }
+
     void add(Figures other) {
         runs += other.runs;
         executions += other.executions;
