Request output again after a silent loss; run the harness against the composed controllers

Cause: the table of single faults showed a whole response that took 130 s: an old frame delivered fresh tokens after a lost connection, which hid that the resumption itself had been lost. A slow generation also counted as lost 15 s after a resumption, as the agent confirmed nothing.

Change: StreamAssembler asks again after 5 s without a frame, RetentionBuffer confirms a resumption without new tokens by an empty frame. FaultRun COMPOSED drives EntryController and AgentController with the same faults and invariants.

Conclusion: the refusal of a lost reservation must not drop a hand-over to another backend server.

--- a/core/src/main/java/io/hornbeamscale/core/stream/RetentionBuffer.java
+++ b/core/src/main/java/io/hornbeamscale/core/stream/RetentionBuffer.java
@@ -165,7 +165,7 @@
 
     /**
      * Sends a generation to a reader from an offset on. A generation of another customer is answered as if it were
-     * unknown, so that ids reveal nothing.
+     * unknown, so that ids reveal nothing. A running generation without new tokens is confirmed by an empty frame.
      *
      * @param generation the generation, not null
      * @param customer the customer that asks, not null
@@ -191,6 +191,9 @@
         }
         retained.addReader(reader, (int) offset);
         retained.push(actions, limits.frameBytes());
+        if (actions.isEmpty()) {
+            actions.add(new RetentionAction.SendTokens(reader, generation, offset, List.of()));
+        }
         return actions;
     }
 
--- a/core/src/main/java/io/hornbeamscale/core/stream/StreamAssembler.java
+++ b/core/src/main/java/io/hornbeamscale/core/stream/StreamAssembler.java
@@ -24,6 +24,12 @@
     /** The time without progress after which a generation counts as lost, in milliseconds. */
     static final long RESUME_GIVE_UP_MILLIS = 15_000;
 
+    /**
+     * The time without a frame after which the output is requested again although no loss was noticed. An old frame
+     * that arrives after a lost connection can hide that the resumption itself was lost.
+     */
+    static final long IDLE_MILLIS = 5_000;
+
     /** The number of tokens between two acknowledgements. */
     static final int ACK_TOKENS = 64;
 
@@ -49,6 +55,7 @@
     private String finishReason = "";
     private long resumeSentMillis = -1;
     private long stalledSinceMillis = -1;
+    private long lastFrameMillis;
     private boolean isClosed;
     private long repeatedTokens;
     private long foreignFrames;
@@ -88,6 +95,7 @@
     public List<StreamAction> handedOver(AttemptId newAttempt, GenerationId newGeneration, long nowMillis) {
         if (!isClosed) {
             begin(Arguments.notNull(newAttempt, "newAttempt"), Arguments.notNull(newGeneration, "newGeneration"), 0);
+            lastFrameMillis = nowMillis;
         }
         return List.of();
     }
@@ -103,13 +111,14 @@
     public List<StreamAction> resumed(AttemptId newAttempt, EventId last, long nowMillis) {
         Arguments.notNull(last, "last");
         begin(Arguments.notNull(newAttempt, "newAttempt"), last.generation(), last.offset());
+        lastFrameMillis = nowMillis;
         List<StreamAction> actions = new ArrayList<>();
         requestResume(actions, nowMillis);
         return actions;
     }
 
     /**
-     * Handles tokens.
+     * Handles tokens. A frame without tokens confirms a resumption of a generation that has nothing new.
      *
      * @param fromAttempt the attempt that the frame carries, not null
      * @param fromGeneration the generation that the frame carries, not null
@@ -125,6 +134,11 @@
             return List.of();
         }
         List<StreamAction> actions = new ArrayList<>();
+        lastFrameMillis = nowMillis;
+        if (texts.isEmpty()) {
+            noteProgress();
+            return actions;
+        }
         if (offset > nextOffset) {
             gaps++;
             requestResume(actions, nowMillis);
@@ -137,8 +151,7 @@
             return actions;
         }
         nextOffset += fresh.size();
-        resumeSentMillis = -1;
-        stalledSinceMillis = -1;
+        noteProgress();
         if (mode == DeliveryMode.WHOLE) {
             whole.addAll(fresh);
         } else {
@@ -219,17 +232,24 @@
      * @return the actions to carry out
      */
     public List<StreamAction> tick(long nowMillis) {
-        if (isClosed || generation == null || resumeSentMillis < 0) {
+        if (isClosed || generation == null) {
             return List.of();
         }
+        List<StreamAction> actions = new ArrayList<>();
+        if (resumeSentMillis < 0) {
+            if (nowMillis - lastFrameMillis >= IDLE_MILLIS) {
+                lastFrameMillis = nowMillis;
+                requestResume(actions, nowMillis);
+            }
+            return actions;
+        }
         if (nowMillis - stalledSinceMillis >= RESUME_GIVE_UP_MILLIS) {
             return settle(ErrorKind.GENERATION_LOST, RunOutcome.UNKNOWN);
         }
         if (nowMillis - resumeSentMillis < RESUME_RETRY_MILLIS) {
-            return List.of();
+            return actions;
         }
         resumeSentMillis = -1;
-        List<StreamAction> actions = new ArrayList<>();
         requestResume(actions, nowMillis);
         return actions;
     }
@@ -310,6 +330,11 @@
         whole.clear();
     }
 
+    private void noteProgress() {
+        resumeSentMillis = -1;
+        stalledSinceMillis = -1;
+    }
+
     private void requestResume(List<StreamAction> actions, long nowMillis) {
         if (resumeSentMillis >= 0) {
             return;
--- /dev/null
+++ b/core/src/test/java/io/hornbeamscale/core/faults/ComposedAgent.java
@@ -0,0 +1,219 @@
+package io.hornbeamscale.core.faults;
+
+import io.hornbeamscale.core.agent.AgentAction;
+import io.hornbeamscale.core.agent.AgentController;
+import io.hornbeamscale.core.attempt.AttemptLedger;
+import io.hornbeamscale.core.attempt.AttemptState;
+import io.hornbeamscale.core.attempt.LedgerLimits;
+import io.hornbeamscale.core.drain.DrainAction;
+import io.hornbeamscale.core.drain.DrainController;
+import io.hornbeamscale.core.drain.DrainSign;
+import io.hornbeamscale.core.error.ErrorKind;
+import io.hornbeamscale.core.error.RunOutcome;
+import io.hornbeamscale.core.id.AttemptId;
+import io.hornbeamscale.core.id.GenerationId;
+import io.hornbeamscale.core.id.GrantId;
+import io.hornbeamscale.core.id.NodeId;
+import io.hornbeamscale.core.schedule.MemoryScheduler;
+import io.hornbeamscale.core.schedule.SchedulerConfig;
+import io.hornbeamscale.core.stream.RetentionBuffer;
+import io.hornbeamscale.core.stream.RetentionLimits;
+import io.hornbeamscale.core.stream.StreamAssembler;
+import io.hornbeamscale.core.stream.StreamReader;
+import io.hornbeamscale.core.work.Call;
+import io.hornbeamscale.core.work.Payload;
+import io.hornbeamscale.core.work.Reservation;
+import java.util.List;
+import java.util.Map;
+
+/** An agent that runs the composed controller of the daemon. */
+final class ComposedAgent extends SimAgent {
+    private static final Call NO_CALL = new Call("POST", "/", Map.of(), Payload.EMPTY);
+
+    private AgentController controller;
+    private DrainController drain;
+
+    ComposedAgent(Simulation sim, String name) {
+        super(sim, name);
+        begin(false);
+    }
+
+    private void begin(boolean isRebuilding) {
+        SchedulerConfig config = SchedulerConfig.builder(backendId, incarnation)
+                .capacityTokens(100_000)
+                .maxRunning(3)
+                .grantMillis(1_000)
+                .typicalTokens(6)
+                .build();
+        controller = new AgentController(
+                backendId,
+                new MemoryScheduler(config),
+                new AttemptLedger(incarnation, new LedgerLimits(1_500, 4_096, 100)),
+                new RetentionBuffer(new RetentionLimits(60_000, 1 << 20, 20_000, 1 << 16), isRebuilding));
+        drain = new DrainController(60_000);
+        drainedMillis = -1;
+    }
+
+    @Override
+    void failed() {
+        begin(true);
+    }
+
+    @Override
+    void restarted() {
+        begin(true);
+        long started = incarnation;
+        sim.after(
+                sim.random.nextInt(100),
+                () -> run(started, () -> {
+                    for (SimBackend.Stream stream : List.copyOf(backend.streams.values())) {
+                        apply(controller.engineHolds(stream.id, stream.call.customer(), sim.now));
+                    }
+                    apply(controller.rebuilt(sim.now));
+                }));
+    }
+
+    @Override
+    void linkLost(Node peer) {
+        apply(controller.entryLost(new NodeId(peer.name), sim.now));
+    }
+
+    @Override
+    void tick() {
+        apply(controller.tick(sim.now));
+        sim.entries.forEach(entry -> send(entry, new Msg.Status(controller.status(sim.now))));
+        if (!drain.isDraining()) {
+            return;
+        }
+        for (DrainAction action : drain.progress(controller.running(), controller.unacknowledged(), sim.now)) {
+            if (action instanceof DrainAction.Move move) {
+                giveUp(move.attempt(), ErrorKind.DRAINING, RunOutcome.UNKNOWN);
+            } else if (action instanceof DrainAction.EndWork end) {
+                giveUp(end.attempt(), end.kind(), end.outcome());
+            } else if (action instanceof DrainAction.Exit exit) {
+                if (exit.isComplete() && !controller.running().isEmpty()) {
+                    sim.monitor.truncated(name + " left with work in progress");
+                }
+                long at = incarnation;
+                sim.after(50, () -> run(at, () -> fail(30_000)));
+            }
+        }
+    }
+
+    private void giveUp(AttemptId attempt, ErrorKind kind, RunOutcome outcome) {
+        GenerationId generation = controller.generationOf(attempt);
+        if (generation != null) {
+            backend.cancel(generation);
+            apply(controller.backendFailed(generation, kind, outcome, sim.now));
+        }
+    }
+
+    @Override
+    void receive(Node from, Msg message) {
+        NodeId entry = new NodeId(from.name);
+        if (message instanceof Msg.ReserveWork reserve) {
+            apply(controller.reserve(new Reservation(reserve.attempt(), entry, reserve.work()), sim.now));
+        } else if (message instanceof Msg.Cancel cancel) {
+            apply(controller.cancel(entry, cancel.attempt(), sim.now));
+        } else if (message instanceof Msg.Start start) {
+            sim.calls.put(start.attempt().request(), start.call());
+            apply(controller.start(entry, start.attempt(), start.grant(), NO_CALL, sim.now));
+        } else if (message instanceof Msg.Ack ack) {
+            apply(controller.acknowledged(ack.generation(), ack.offset(), sim.now));
+        } else if (message instanceof Msg.Resume resume) {
+            StreamReader reader = new StreamReader(entry, resume.attempt());
+            apply(controller.resume(reader, resume.customer(), resume.generation(), resume.offset(), sim.now));
+        } else if (message instanceof Msg.Revoke revoke) {
+            apply(controller.revoke(entry, revoke.attempt(), revoke.grant(), sim.now));
+        }
+    }
+
+    @Override
+    void engineTokens(GenerationId generation, long offset, List<String> texts, long total) {
+        apply(controller.engineTokens(generation, offset, texts, sim.now));
+        if (total >= 0) {
+            apply(controller.engineEnded(generation, total, "stop", sim.now));
+        }
+    }
+
+    @Override
+    void engineFailed(List<GenerationId> lost) {
+        for (GenerationId generation : lost) {
+            apply(controller.backendFailed(generation, ErrorKind.BACKEND_FAILED, RunOutcome.RAN, sim.now));
+        }
+    }
+
+    @Override
+    void plainEnded(AttemptId attempt, GrantId grant, String response) {
+        GenerationId generation = StreamAssembler.generationOf(backendId, grant);
+        if (sim.isResultLost()) {
+            sim.figures.count(Fault.RESULT_LOST);
+            apply(controller.backendFailed(generation, ErrorKind.OUTCOME_UNKNOWN, RunOutcome.UNKNOWN, sim.now));
+            return;
+        }
+        apply(controller.backendAnswered(generation, 200, Map.of(), Payload.ofText(response), sim.now));
+    }
+
+    @Override
+    void leave(DrainSign sign) {
+        sign(drain.leaving(sign, sim.now));
+    }
+
+    @Override
+    void reclaim(long noticeMillis) {
+        sign(drain.reclaim(noticeMillis, sim.now));
+    }
+
+    private void sign(List<DrainAction> actions) {
+        if (!actions.isEmpty()) {
+            drainedMillis = sim.now;
+            apply(controller.drain(sim.now));
+        }
+    }
+
+    private void apply(List<AgentAction> actions) {
+        for (AgentAction action : actions) {
+            if (action instanceof AgentAction.SendGrant a) {
+                send(sim.node(a.entry()), new Msg.Grant(a.attempt(), a.grant()));
+            } else if (action instanceof AgentAction.SendRefuse a) {
+                send(sim.node(a.entry()), new Msg.Refuse(a.attempt(), a.kind()));
+            } else if (action instanceof AgentAction.SendTokens a) {
+                send(sim.node(a.entry()), new Msg.Tokens(a.attempt(), a.generation(), a.offset(), a.texts()));
+            } else if (action instanceof AgentAction.SendEnd a) {
+                send(sim.node(a.entry()), new Msg.End(a.attempt(), a.generation(), a.totalTokens()));
+            } else if (action instanceof AgentAction.SendAnswer a) {
+                send(
+                        sim.node(a.entry()),
+                        new Msg.PlainEnd(a.attempt(), a.generation(), a.body().text()));
+            } else if (action instanceof AgentAction.SendFailed a) {
+                send(sim.node(a.entry()), new Msg.Failed(a.attempt(), null, a.kind(), a.outcome()));
+            } else if (action instanceof AgentAction.SendRevoked a) {
+                String response = a.status() == 0 ? null : a.body().text();
+                AttemptState state = AttemptState.valueOf(a.state());
+                send(sim.node(a.entry()), new Msg.Revoked(a.attempt(), a.grant(), state, response, true));
+            } else if (action instanceof AgentAction.StartCall a) {
+                startCall(a);
+            } else if (action instanceof AgentAction.CancelCall a) {
+                backend.cancel(a.generation());
+            } else if (action instanceof AgentAction.ReattachCall a) {
+                long at = incarnation;
+                sim.after(2, () -> run(at, () -> backend.replay(a.generation(), a.offset())));
+            }
+        }
+    }
+
+    private void startCall(AgentAction.StartCall start) {
+        GenerationId generation = start.generation();
+        Msg.Call call = sim.calls.get(start.work().request());
+        AttemptId attempt = new AttemptId(start.work().request(), 1);
+        if (call.kind().isPlain()) {
+            backend.startPlain(attempt, new GrantId(generation.incarnation(), generation.sequence()), call);
+        } else {
+            backend.startStream(generation, attempt, call);
+        }
+    }
+
+    private void send(Node to, Msg message) {
+        sim.network.send(this, to, message);
+    }
+}
--- a/core/src/test/java/io/hornbeamscale/core/faults/FaultHarnessTest.java
+++ b/core/src/test/java/io/hornbeamscale/core/faults/FaultHarnessTest.java
@@ -8,6 +8,7 @@
 import java.util.TreeSet;
 import org.junit.jupiter.api.Nested;
 import org.junit.jupiter.api.Test;
+import org.junit.jupiter.api.condition.EnabledIfSystemProperty;
 import org.junit.jupiter.params.ParameterizedTest;
 import org.junit.jupiter.params.provider.CsvSource;
 import org.junit.jupiter.params.provider.EnumSource;
@@ -38,6 +39,34 @@
         }
     }
 
+    /** The controllers of the daemons, which compose those of this harness. */
+    @Nested
+    class ComposedControllers {
+        private static final long COMPOSED_SEEDS = 20_000;
+
+        private Figures run(long first, long count) {
+            return FaultRun.run(first, count, seed -> new Simulation(seed, Defect.NONE, FaultRun.COMPOSED, true));
+        }
+
+        @Test
+        void executeNothingTwiceAndTellTheTruth() {
+            Figures figures = run(1, COMPOSED_SEEDS);
+            System.out.print(figures);
+            assertEquals(figures.violations("ENDS"), figures.violations());
+        }
+
+        /** Seeds after which a call hangs, as the refusal of a lost reservation drops the call that was handed over. */
+        @ParameterizedTest
+        @ValueSource(longs = {721, 749, 1118, 2095, 2482})
+        @EnabledIfSystemProperty(
+                named = "faults.knownRed",
+                matches = "true",
+                disabledReason = "listed in KNOWN-RED.txt: EntryController.refused")
+        void endEveryCall(long seed) {
+            assertEquals(0, run(seed, 1).violations());
+        }
+    }
+
     @Nested
     class Availability {
         /** Calls that need no claim must not notice the store. */
@@ -55,6 +84,16 @@
             }
         }
 
+        /** A response once took 130 s, as an old frame hid that the resumption of its stream was lost. */
+        @Test
+        void returnsSoonAfterOldFrames() {
+            Figures figures = FaultRun.run(1, 2_000, Defect.NONE, EnumSet.of(Fault.OLD_FRAMES));
+            assertEquals(0, figures.violations());
+            for (CallKind kind : CallKind.values()) {
+                assertTrue(figures.slowestMillis(Fault.OLD_FRAMES, kind) < 10_000, kind.name());
+            }
+        }
+
         /** A region without the store still serves what needs no claim. */
         @Test
         void survivesTheLossOfTheLinkBetweenRegions() {
--- a/core/src/test/java/io/hornbeamscale/core/faults/FaultRun.java
+++ b/core/src/test/java/io/hornbeamscale/core/faults/FaultRun.java
@@ -4,16 +4,22 @@
 import java.util.Set;
 import java.util.concurrent.ForkJoinPool;
 import java.util.concurrent.ForkJoinTask;
+import java.util.function.LongFunction;
 import java.util.stream.LongStream;
 
 /**
  * Tries interleavings of all seeds of a range and prints the figures. Arguments: first seed, number of seeds, and the
- * name of a fault to inject alone, {@code ALL} or {@code EACH}.
+ * name of a fault to inject alone, {@code ALL}, {@code EACH}, or {@code COMPOSED} for all faults that concern the
+ * composed controllers of the daemons.
  */
 public final class FaultRun {
     /** The number of seeds tried at once; the machine is shared. */
     private static final int PARALLEL = 3;
 
+    /** The composed controllers include neither quarantine nor fencing, and never send a start twice. */
+    static final Set<Fault> COMPOSED =
+            EnumSet.complementOf(EnumSet.of(Fault.POISON_REQUEST, Fault.LEASE_LAPSED, Fault.START_DUPLICATED));
+
     private FaultRun() {}
 
     public static void main(String[] args) {
@@ -21,7 +27,9 @@
         long count = args.length > 1 ? Long.parseLong(args[1]) : 100_000;
         String which = args.length > 2 ? args[2] : "ALL";
         Figures figures = new Figures();
-        if (which.equals("EACH")) {
+        if (which.equals("COMPOSED")) {
+            figures.add(run(first, count, seed -> new Simulation(seed, Defect.NONE, COMPOSED, true)));
+        } else if (which.equals("EACH")) {
             figures.add(run(first, count, Defect.NONE, EnumSet.noneOf(Fault.class)));
             for (Fault fault : Fault.values()) {
                 figures.add(run(first, count, Defect.NONE, EnumSet.of(fault)));
@@ -35,9 +43,13 @@
     }
 
     static Figures run(long first, long count, Defect defect, Set<Fault> faults) {
+        return run(first, count, seed -> new Simulation(seed, defect, faults));
+    }
+
+    static Figures run(long first, long count, LongFunction<Simulation> create) {
         ForkJoinTask<Figures> task = ForkJoinTask.adapt(() -> LongStream.range(first, first + count)
                 .parallel()
-                .mapToObj(seed -> one(seed, defect, faults))
+                .mapToObj(seed -> one(seed, create))
                 .collect(Figures::new, Figures::add, Figures::add));
         ForkJoinPool pool = new ForkJoinPool(PARALLEL);
         try {
@@ -47,10 +59,10 @@
         }
     }
 
-    private static Figures one(long seed, Defect defect, Set<Fault> faults) {
-        Simulation simulation = new Simulation(seed, defect, faults);
+    private static Figures one(long seed, LongFunction<Simulation> create) {
+        Simulation simulation = create.apply(seed);
         for (String violation : simulation.run()) {
-            if (defect == Defect.NONE) {
+            if (simulation.defect == Defect.NONE) {
                 System.out.println("seed " + seed + ": " + violation);
             }
         }
--- a/core/src/test/java/io/hornbeamscale/core/faults/Figures.java
+++ b/core/src/test/java/io/hornbeamscale/core/faults/Figures.java
@@ -40,6 +40,14 @@
         return violations.values().stream().mapToLong(Long::longValue).sum();
     }
 
+    long slowestMillis(Fault fault, CallKind kind) {
+        return availability.getOrDefault(fault + " " + kind, new long[3])[2];
+    }
+
+    long violations(String invariant) {
+        return violations.getOrDefault(invariant, 0L);
+    }
+
     /** Notes the end of a call in a run with one kind of fault: total, not served, greatest time to the answer. */
     void availability(String fault, CallKind kind, boolean isServed, long millis) {
         long[] counts = availability.computeIfAbsent(fault + " " + kind, key -> new long[3]);
--- a/core/src/test/java/io/hornbeamscale/core/faults/Msg.java
+++ b/core/src/test/java/io/hornbeamscale/core/faults/Msg.java
@@ -12,12 +12,18 @@
 import io.hornbeamscale.core.id.GrantId;
 import io.hornbeamscale.core.quarantine.CrashReport;
 import io.hornbeamscale.core.quarantine.QuarantineNews;
+import io.hornbeamscale.core.work.BackendStatus;
+import io.hornbeamscale.core.work.WorkItem;
 import java.util.List;
 
 /** The messages between the processes. */
 sealed interface Msg {
     record Reserve(AttemptId attempt, boolean isPlain, boolean isSuspect) implements Msg {}
 
+    record ReserveWork(AttemptId attempt, WorkItem work) implements Msg {}
+
+    record Status(BackendStatus status) implements Msg {}
+
     record Cancel(AttemptId attempt) implements Msg {}
 
     record Grant(AttemptId attempt, GrantId grant) implements Msg {}
--- a/core/src/test/java/io/hornbeamscale/core/faults/SimAgent.java
+++ b/core/src/test/java/io/hornbeamscale/core/faults/SimAgent.java
@@ -36,7 +36,7 @@
 import java.util.SplittableRandom;
 
 /** An agent that composes the controllers of its side. */
-final class SimAgent extends Node {
+class SimAgent extends Node {
     private static final int MAX_RUNNING = 3;
     private static final long GRANT_MILLIS = 1_500;
 
--- a/core/src/test/java/io/hornbeamscale/core/faults/SimEntry.java
+++ b/core/src/test/java/io/hornbeamscale/core/faults/SimEntry.java
@@ -35,7 +35,7 @@
 import java.util.SplittableRandom;
 
 /** An entry that composes the controllers of its side with a simple choice of agents. */
-final class SimEntry extends Node {
+class SimEntry extends Node {
     private static final long RESERVE_MILLIS = 400;
     private static final long WAIT_MILLIS = 8_000;
     private static final long SETTLE_MILLIS = 6_000;
--- a/core/src/test/java/io/hornbeamscale/core/faults/Simulation.java
+++ b/core/src/test/java/io/hornbeamscale/core/faults/Simulation.java
@@ -38,6 +38,7 @@
     final SimStore store = new SimStore(this);
     final List<SimEntry> entries = new ArrayList<>();
     final List<SimAgent> agents = new ArrayList<>();
+    final Map<RequestId, Msg.Call> calls = new HashMap<>();
     long now;
     private final Set<Fault> faults;
     private final PriorityQueue<Event> events = new PriorityQueue<>();
@@ -50,16 +51,21 @@
     private boolean isLosingResults;
 
     Simulation(long seed, Defect defect, Set<Fault> faults) {
+        this(seed, defect, faults, false);
+    }
+
+    /** Creates a simulation, if asked with the composed controllers of the daemons instead of those of this package. */
+    Simulation(long seed, Defect defect, Set<Fault> faults, boolean isComposed) {
         random = new SplittableRandom(seed);
         this.defect = defect;
         this.faults = faults;
         entryCount = 2 + random.nextInt(2);
         int agentCount = 2 + random.nextInt(2);
         for (int i = 0; i < entryCount; i++) {
-            entries.add(new SimEntry(this, "entry-" + i));
+            entries.add(isComposed ? new ComposedEntry(this, "entry-" + i) : new SimEntry(this, "entry-" + i));
         }
         for (int i = 0; i < agentCount; i++) {
-            agents.add(new SimAgent(this, "agent-" + i));
+            agents.add(isComposed ? new ComposedAgent(this, "agent-" + i) : new SimAgent(this, "agent-" + i));
         }
     }
 
--- a/core/src/test/java/io/hornbeamscale/core/stream/RetentionBufferTest.java
+++ b/core/src/test/java/io/hornbeamscale/core/stream/RetentionBufferTest.java
@@ -74,7 +74,9 @@
             assertEquals(List.of(), buffer.resume(GEN, OWNER, OTHER, 2, 1));
             buffer.reattached(GEN, OWNER, 2);
             buffer.rebuilt(2);
-            assertEquals(List.of(), buffer.resume(GEN, OWNER, OTHER, 2, 3));
+            assertEquals(
+                    List.of(new RetentionAction.SendTokens(OTHER, GEN, 2, List.of())),
+                    buffer.resume(GEN, OWNER, OTHER, 2, 3));
             assertEquals(
                     List.of(new RetentionAction.SendTokens(OTHER, GEN, 2, List.of("c"))),
                     buffer.tokens(GEN, 0, List.of("a", "b", "c"), 4));
--- a/core/src/test/java/io/hornbeamscale/core/stream/StreamAssemblerTest.java
+++ b/core/src/test/java/io/hornbeamscale/core/stream/StreamAssemblerTest.java
@@ -52,6 +52,28 @@
                     assembler.tick(1 + StreamAssembler.RESUME_RETRY_MILLIS));
         }
 
+        @Test
+        void asksAgainAfterAnOldFrameHidTheLossOfTheResumption() {
+            StreamAssembler assembler = started(DeliveryMode.WHOLE, true);
+            assembler.linkLost(RUNNER, 1);
+            assembler.tokens(FIRST, GEN, 0, List.of("a"), 2);
+            assertEquals(List.of(), assembler.tick(1 + StreamAssembler.IDLE_MILLIS));
+            assertEquals(List.of(new StreamAction.SendResume(GEN, 1)), assembler.tick(2 + StreamAssembler.IDLE_MILLIS));
+        }
+
+        @Test
+        void doesNotGiveUpASlowGenerationWhoseAgentAnswers() {
+            StreamAssembler assembler = started(DeliveryMode.STREAM, true);
+            for (long now = 0; now < 10 * StreamAssembler.RESUME_GIVE_UP_MILLIS; now += 1_000) {
+                for (StreamAction action : assembler.tick(now)) {
+                    assertEquals(new StreamAction.SendResume(GEN, 0), action);
+                    assembler.tokens(FIRST, GEN, 0, List.of(), now + 1);
+                }
+            }
+            assertEquals(
+                    1, assembler.tokens(FIRST, GEN, 0, List.of("a"), 900_000).size());
+        }
+
         @Test
         void dropsFramesOfAnotherAttemptOrGeneration() {
             StreamAssembler assembler = started(DeliveryMode.STREAM, true);
