Ask again for a newer version when a request is lost

Change: a peer with a newer version stays a candidate until the node has caught up or the peer is gone; the request is repeated every second.

--- a/core/src/main/java/io/hornbeamscale/core/distribute/ConfigDistributor.java
+++ b/core/src/main/java/io/hornbeamscale/core/distribute/ConfigDistributor.java
@@ -91,6 +91,7 @@
      */
     public void peers(Collection<Peer> live) {
         plan.update(Arguments.notNull(live, "live"));
+        better.keySet().removeIf(peer -> !plan.isKnown(peer));
         hasPeers = true;
     }
 
@@ -365,7 +366,6 @@
             return;
         }
         NodeId chosen = candidates.get(random.nextInt(candidates.size()));
-        better.remove(chosen);
         wantUntilMillis = nowMillis + WANT_MILLIS;
         actions.add(new DistributeAction.Send(chosen, new ConfigMessage.Want(held.version())));
     }
--- a/core/src/main/java/io/hornbeamscale/core/distribute/PeerPlan.java
+++ b/core/src/main/java/io/hornbeamscale/core/distribute/PeerPlan.java
@@ -79,6 +79,10 @@
         return ranks.get(0).equals(self.node());
     }
 
+    boolean isKnown(NodeId node) {
+        return known.containsKey(node);
+    }
+
     boolean isForeign(NodeId node) {
         Peer peer = known.get(node);
         return peer != null && !peer.region().equals(self.region());
--- a/core/src/test/java/io/hornbeamscale/core/distribute/ConfigDistributorTest.java
+++ b/core/src/test/java/io/hornbeamscale/core/distribute/ConfigDistributorTest.java
@@ -110,6 +110,14 @@
             assertEquals(2, node.versionInForce());
         }
 
+        @Test
+        void asksAgainWhenARequestOrItsAnswerIsLost() {
+            node.peers(List.of(new Peer(PEER, HOME)));
+            node.received(PEER, digest(2, true), 10);
+            assertFalse(isSent(node.tick(900), PEER, ConfigMessage.Want.class));
+            assertTrue(isSent(node.tick(1_100), PEER, ConfigMessage.Want.class));
+        }
+
         @Test
         void asksForTheWholeDocumentIfADifferenceDoesNotFit() {
             node.peers(List.of(new Peer(PEER, HOME)));
