Add customer limits, link budget and subset selection

Cause: limits must hold over many entries without a shared counter, traffic between regions is billed, and each entry watches a subset. Change: CustomerLimiter (static half plus leased half), LimitCoordinator, LinkBudget, SubsetSelector; the dispatcher applies limits and counts link bytes.

--- a/core/src/main/java/io/hornbeamscale/core/dispatch/DispatcherConfig.java
+++ b/core/src/main/java/io/hornbeamscale/core/dispatch/DispatcherConfig.java
@@ -15,6 +15,7 @@
  * @param rerunWaitMillis how long a request may wait for its second run after its deadline, in milliseconds
  * @param retryPercent retries and second attempts as a share of first attempts, in percent
  * @param retryAfterMillis the smallest advised pause of a refused caller, in milliseconds
+ * @param linkBytesPerSecond the budget for traffic with other regions in bytes per second, 0 to stay in the region
  */
 public record DispatcherConfig(
         ZoneId zone,
@@ -24,7 +25,8 @@
         long pauseMillis,
         long rerunWaitMillis,
         int retryPercent,
-        long retryAfterMillis) {
+        long retryAfterMillis,
+        long linkBytesPerSecond) {
     /** Checks the parts. */
     public DispatcherConfig {
         Arguments.notNull(zone, "zone");
@@ -35,6 +37,7 @@
         Arguments.notNegative(rerunWaitMillis, "rerunWaitMillis");
         Arguments.inRange(retryPercent, 0, 100, "retryPercent");
         Arguments.positive(retryAfterMillis, "retryAfterMillis");
+        Arguments.notNegative(linkBytesPerSecond, "linkBytesPerSecond");
     }
 
     /**
@@ -58,6 +61,7 @@
         private long rerunWaitMillis = 5_000;
         private int retryPercent = 10;
         private long retryAfterMillis = 1_000;
+        private long linkBytesPerSecond = 1_000_000;
 
         private Builder(ZoneId zone, RegionId region) {
             this.zone = zone;
@@ -130,6 +134,17 @@
             return this;
         }
 
+        /**
+         * Sets the budget for traffic with other regions.
+         *
+         * @param value the budget in bytes per second, 0 to stay in the region
+         * @return this builder
+         */
+        public Builder linkBytesPerSecond(long value) {
+            linkBytesPerSecond = value;
+            return this;
+        }
+
         /**
          * Builds the settings.
          *
@@ -138,7 +153,15 @@
          */
         public DispatcherConfig build() {
             return new DispatcherConfig(
-                    zone, region, maxQueued, maxAttempts, pauseMillis, rerunWaitMillis, retryPercent, retryAfterMillis);
+                    zone,
+                    region,
+                    maxQueued,
+                    maxAttempts,
+                    pauseMillis,
+                    rerunWaitMillis,
+                    retryPercent,
+                    retryAfterMillis,
+                    linkBytesPerSecond);
         }
     }
 }
--- a/core/src/main/java/io/hornbeamscale/core/dispatch/ReservationDispatcher.java
+++ b/core/src/main/java/io/hornbeamscale/core/dispatch/ReservationDispatcher.java
@@ -6,6 +6,8 @@
 import io.hornbeamscale.core.id.BackendId;
 import io.hornbeamscale.core.id.GrantId;
 import io.hornbeamscale.core.id.RequestId;
+import io.hornbeamscale.core.limit.CustomerLimiter;
+import io.hornbeamscale.core.limit.LinkBudget;
 import io.hornbeamscale.core.limit.RetryBudget;
 import io.hornbeamscale.core.util.Arguments;
 import io.hornbeamscale.core.work.BackendStatus;
@@ -29,6 +31,11 @@
     /** Refusals for lack of capacity after which the caller is told at once. */
     private static final int MAX_REFUSALS = 4;
 
+    /** Bytes of a prompt token in a request, and of an output token with its share of the frame. */
+    private static final int PROMPT_TOKEN_BYTES = 5;
+
+    private static final int OUTPUT_TOKEN_BYTES = 16;
+
     private final DispatcherConfig config;
     private final RandomGenerator random;
     private final BackendTable table;
@@ -36,6 +43,8 @@
     private final FirstTokenTimes firstTokens = new FirstTokenTimes();
     private final BackendChooser chooser;
     private final RetryBudget retries;
+    private final LinkBudget link;
+    private final CustomerLimiter limiter = new CustomerLimiter();
     private final Map<RequestId, RequestState> requests = new LinkedHashMap<>();
     private int queued;
 
@@ -50,6 +59,7 @@
         this.random = Arguments.notNull(random, "random");
         this.table = new BackendTable(config.region());
         this.chooser = new BackendChooser(config, table, random);
+        this.link = new LinkBudget(config.linkBytesPerSecond());
         this.retries = new RetryBudget(config.retryPercent());
     }
 
@@ -62,6 +72,35 @@
         return queued;
     }
 
+    /**
+     * Returns the customers' limits at this entry.
+     *
+     * @return the limiter, never null
+     */
+    public CustomerLimiter limits() {
+        return limiter;
+    }
+
+    /**
+     * Returns the bytes exchanged with other regions so far.
+     *
+     * @return the number of bytes
+     */
+    public long linkBytes() {
+        return link.bytes();
+    }
+
+    /**
+     * Returns the number of backend servers that are set aside as stragglers.
+     *
+     * @return the number of servers
+     */
+    public int setAside() {
+        return (int) table.all().stream()
+                .filter(b -> b.speed == BackendState.Speed.SET_ASIDE)
+                .count();
+    }
+
     /**
      * Returns the number of requests that wait or run.
      *
@@ -95,6 +134,12 @@
             out.add(reject(work.request(), ErrorKind.OVERLOADED, RunOutcome.NOT_RUN));
             return out;
         }
+        long limited = limiter.admit(work.customer(), work.promptTokens(), nowMillis);
+        if (limited > 0) {
+            long pause = spread(Math.max(config.retryAfterMillis(), limited));
+            out.add(new DispatchAction.RejectCaller(work.request(), ErrorKind.RATE_LIMITED, RunOutcome.NOT_RUN, pause));
+            return out;
+        }
         RequestState s = new RequestState(work, nowMillis);
         requests.put(work.request(), s);
         retries.firstAttempt();
@@ -120,13 +165,24 @@
         if (missing <= 0) {
             return;
         }
-        for (BackendState b : chooser.choose(s, missing, true, nowMillis)) {
+        for (BackendState b : chooser.choose(s, missing, mayLeave(s, nowMillis), nowMillis)) {
             s.reserved.add(b.backend);
             b.reserved(s.work, nowMillis);
             out.add(new DispatchAction.SendReserve(b.backend, s.reserving, s.work));
         }
     }
 
+    private boolean mayLeave(RequestState s, long nowMillis) {
+        return link.hasRoom((long) s.work.promptTokens() * PROMPT_TOKEN_BYTES, nowMillis);
+    }
+
+    private void countLink(BackendId backend, long bytes, long nowMillis) {
+        BackendState b = table.get(backend);
+        if (b != null && b.place != null && !b.place.region().equals(config.region())) {
+            link.count(bytes, nowMillis);
+        }
+    }
+
     @Override
     public List<DispatchAction> granted(
             BackendId backend, AttemptId attempt, GrantId grant, long validMillis, long nowMillis) {
@@ -146,6 +202,7 @@
         s.handOvers++;
         queued--;
         s.running.put(attempt, new RequestState.HandedOver(backend, nowMillis));
+        countLink(backend, (long) s.work.promptTokens() * PROMPT_TOKEN_BYTES, nowMillis);
         out.add(new DispatchAction.SendStart(backend, attempt, grant, s.work));
         return out;
     }
@@ -228,7 +285,12 @@
     public List<DispatchAction> tokens(AttemptId attempt, int count, long nowMillis) {
         List<DispatchAction> out = new ArrayList<>();
         RequestState s = runningState(attempt);
-        if (s != null && !s.isDelivering) {
+        if (s == null) {
+            return out;
+        }
+        limiter.charge(s.work.customer(), count, nowMillis);
+        countLink(s.running.get(attempt).backend, (long) count * OUTPUT_TOKEN_BYTES, nowMillis);
+        if (!s.isDelivering) {
             s.isDelivering = true;
             firstTokens.add(nowMillis - s.running.get(attempt).startedMillis);
             cancelOthers(s, attempt, out);
@@ -363,7 +425,7 @@
             BackendState b = table.get(id);
             least = b == null ? least : Math.min(least, chooser.cost(b, s, nowMillis));
         }
-        for (BackendState b : chooser.choose(s, 1, true, nowMillis)) {
+        for (BackendState b : chooser.choose(s, 1, mayLeave(s, nowMillis), nowMillis)) {
             if (chooser.cost(b, s, nowMillis) < least / 2) {
                 s.reserved.add(b.backend);
                 b.reserved(s.work, nowMillis);
--- /dev/null
+++ b/core/src/main/java/io/hornbeamscale/core/dispatch/SubsetSelector.java
@@ -0,0 +1,85 @@
+package io.hornbeamscale.core.dispatch;
+
+import io.hornbeamscale.core.id.NodeId;
+import io.hornbeamscale.core.id.RegionId;
+import io.hornbeamscale.core.limit.Ranks;
+import io.hornbeamscale.core.util.Arguments;
+import java.util.ArrayList;
+import java.util.Collection;
+import java.util.Comparator;
+import java.util.List;
+import java.util.Map;
+import java.util.TreeMap;
+
+/**
+ * Selects the backend servers that an entry watches. Entries and servers are sorted by hash, and the entry at position
+ * i of n watches an arc of the servers that begins at i/n. Each server is thus watched by the same number of entries,
+ * give or take one, and the loss of an entry moves each arc by less than the distance between two entries.
+ */
+public final class SubsetSelector {
+    private final int nearSize;
+    private final int farSize;
+
+    /**
+     * Creates a selector.
+     *
+     * @param nearSize the servers to watch in the entry's region, per service and model, greater than 0
+     * @param farSize the servers to watch in each other region, per service and model, not negative
+     */
+    public SubsetSelector(int nearSize, int farSize) {
+        this.nearSize = (int) Arguments.positive(nearSize, "nearSize");
+        this.farSize = (int) Arguments.notNegative(farSize, "farSize");
+    }
+
+    /**
+     * Selects servers.
+     *
+     * @param self the entry, not null
+     * @param region the region of the entry, not null
+     * @param entries the live entries of the region, with or without this one, not null
+     * @param servers all servers, not null
+     * @return the servers to watch, never null
+     */
+    public List<BackendPlace> select(
+            NodeId self, RegionId region, Collection<NodeId> entries, Collection<BackendPlace> servers) {
+        long own = Ranks.rank(self.value(), "subset");
+        int position = 0;
+        int count = 1;
+        for (NodeId e : entries) {
+            if (e.equals(self)) {
+                continue;
+            }
+            count++;
+            long rank = Ranks.rank(e.value(), "subset");
+            position += rank < own || (rank == own && e.value().compareTo(self.value()) < 0) ? 1 : 0;
+        }
+        double start = (double) position / count;
+        List<BackendPlace> selected = new ArrayList<>();
+        for (List<BackendPlace> group : groups(servers).values()) {
+            int size = group.get(0).region().equals(region) ? nearSize : farSize;
+            addArc(group, start, size, selected);
+        }
+        return selected;
+    }
+
+    private static Map<String, List<BackendPlace>> groups(Collection<BackendPlace> servers) {
+        Map<String, List<BackendPlace>> groups = new TreeMap<>();
+        for (BackendPlace p : servers) {
+            String key =
+                    p.service().value() + "/" + p.model() + "/" + p.region().value();
+            groups.computeIfAbsent(key, k -> new ArrayList<>()).add(p);
+        }
+        Comparator<BackendPlace> byRank =
+                Comparator.comparingLong(p -> Ranks.rank(p.backend().value(), "subset"));
+        groups.values()
+                .forEach(g -> g.sort(byRank.thenComparing(p -> p.backend().value())));
+        return groups;
+    }
+
+    private static void addArc(List<BackendPlace> group, double start, int size, List<BackendPlace> selected) {
+        int first = (int) (start * group.size());
+        for (int i = 0; i < Math.min(size, group.size()); i++) {
+            selected.add(group.get((first + i) % group.size()));
+        }
+    }
+}
--- /dev/null
+++ b/core/src/main/java/io/hornbeamscale/core/limit/CustomerLimit.java
@@ -0,0 +1,20 @@
+package io.hornbeamscale.core.limit;
+
+import io.hornbeamscale.core.id.CustomerId;
+import io.hornbeamscale.core.util.Arguments;
+
+/**
+ * Rates of one customer: a limit, a demand or a share, depending on the place.
+ *
+ * @param customer the customer, not null
+ * @param requestsPerSecond requests per second, not negative
+ * @param tokensPerSecond prompt and output tokens per second, not negative
+ */
+public record CustomerLimit(CustomerId customer, double requestsPerSecond, double tokensPerSecond) {
+    /** Checks the parts. */
+    public CustomerLimit {
+        Arguments.notNull(customer, "customer");
+        Arguments.inRange(requestsPerSecond, 0, Double.MAX_VALUE, "requestsPerSecond");
+        Arguments.inRange(tokensPerSecond, 0, Double.MAX_VALUE, "tokensPerSecond");
+    }
+}
--- /dev/null
+++ b/core/src/main/java/io/hornbeamscale/core/limit/CustomerLimiter.java
@@ -0,0 +1,154 @@
+package io.hornbeamscale.core.limit;
+
+import io.hornbeamscale.core.id.CustomerId;
+import io.hornbeamscale.core.util.Arguments;
+import java.util.ArrayList;
+import java.util.HashMap;
+import java.util.List;
+import java.util.Map;
+
+/**
+ * Applies one entry's share of each customer's limits: an equal part of one half, and what the customer's coordinator
+ * has leased from the other half. An expired lease leaves the equal part. Customers without a limit are not bounded.
+ * Not safe for use by several threads.
+ */
+public final class CustomerLimiter {
+    /** The burst of a share in seconds of its rate. */
+    private static final double BURST_SECONDS = 2;
+
+    private final Map<CustomerId, Share> shares = new HashMap<>();
+    private int entries = 1;
+
+    /** Creates a limiter without limits. */
+    public CustomerLimiter() {}
+
+    /**
+     * Replaces the limits.
+     *
+     * @param limits the limits of the whole system, not null
+     * @param liveEntries the number of entries that share them, greater than 0
+     * @param nowMillis the present time
+     */
+    public void configure(List<CustomerLimit> limits, int liveEntries, long nowMillis) {
+        entries = (int) Arguments.positive(liveEntries, "liveEntries");
+        Map<CustomerId, Share> kept = new HashMap<>();
+        for (CustomerLimit l : limits) {
+            Share s = shares.get(l.customer());
+            kept.put(l.customer(), s == null ? new Share(l, nowMillis) : s);
+            kept.get(l.customer()).limit = l;
+        }
+        shares.clear();
+        shares.putAll(kept);
+        shares.values().forEach(s -> s.apply(entries, nowMillis));
+    }
+
+    /**
+     * Takes a lease from a customer's coordinator.
+     *
+     * @param lease the leased rates, not null
+     * @param validMillis how long the lease is valid, in milliseconds from its arrival
+     * @param nowMillis the present time
+     */
+    public void leased(CustomerLimit lease, long validMillis, long nowMillis) {
+        Share s = shares.get(lease.customer());
+        if (s != null) {
+            s.lease = lease;
+            s.leaseUntilMillis = nowMillis + validMillis;
+            s.apply(entries, nowMillis);
+        }
+    }
+
+    /**
+     * Admits a request or tells when to come back.
+     *
+     * @param customer the customer, not null
+     * @param promptTokens the prompt tokens of the request
+     * @param nowMillis the present time
+     * @return 0 if the request is admitted, else the time to wait in milliseconds
+     */
+    public long admit(CustomerId customer, int promptTokens, long nowMillis) {
+        Share s = shares.get(customer);
+        if (s == null) {
+            return 0;
+        }
+        s.expire(entries, nowMillis);
+        s.askedRequests++;
+        s.askedTokens += promptTokens;
+        long wait = Math.max(
+                s.requests.waitMillis(1, nowMillis), s.tokens.waitMillis(Math.max(1, promptTokens), nowMillis));
+        if (wait == 0) {
+            s.requests.take(1, nowMillis);
+            s.tokens.take(promptTokens, nowMillis);
+        }
+        return wait;
+    }
+
+    /**
+     * Charges output tokens. They may exceed the limit, as running responses are not cut off; the excess delays the
+     * customer's next requests.
+     *
+     * @param customer the customer, not null
+     * @param count the number of tokens
+     * @param nowMillis the present time
+     */
+    public void charge(CustomerId customer, int count, long nowMillis) {
+        Share s = shares.get(customer);
+        if (s != null) {
+            s.askedTokens += count;
+            s.tokens.take(count, nowMillis);
+        }
+    }
+
+    /**
+     * Returns the demand since the last call, to be sent to each customer's coordinator.
+     *
+     * @param nowMillis the present time
+     * @return the demand of customers that have any, never null
+     */
+    public List<CustomerLimit> demand(long nowMillis) {
+        List<CustomerLimit> all = new ArrayList<>();
+        for (Share s : shares.values()) {
+            double seconds = Math.max(1, nowMillis - s.askedSinceMillis) / 1e3;
+            if (s.askedRequests > 0 || s.askedTokens > 0) {
+                all.add(new CustomerLimit(s.limit.customer(), s.askedRequests / seconds, s.askedTokens / seconds));
+            }
+            s.askedRequests = 0;
+            s.askedTokens = 0;
+            s.askedSinceMillis = nowMillis;
+        }
+        return all;
+    }
+
+    private static final class Share {
+        final TokenBucket requests;
+        final TokenBucket tokens;
+        CustomerLimit limit;
+        CustomerLimit lease;
+        long leaseUntilMillis;
+        double askedRequests;
+        double askedTokens;
+        long askedSinceMillis;
+
+        Share(CustomerLimit limit, long nowMillis) {
+            this.limit = limit;
+            this.requests = new TokenBucket(0, 1, nowMillis);
+            this.tokens = new TokenBucket(0, 1, nowMillis);
+            this.askedSinceMillis = nowMillis;
+        }
+
+        void expire(int entries, long nowMillis) {
+            if (lease != null && nowMillis >= leaseUntilMillis) {
+                lease = null;
+                apply(entries, nowMillis);
+            }
+        }
+
+        void apply(int entries, long nowMillis) {
+            double share = 0.5 / entries;
+            double r = limit.requestsPerSecond() * share + (lease == null ? 0 : lease.requestsPerSecond());
+            double t = limit.tokensPerSecond() * share + (lease == null ? 0 : lease.tokensPerSecond());
+            requests.rate(r, Math.max(1, r * BURST_SECONDS), nowMillis);
+            tokens.rate(t, Math.max(1, t * BURST_SECONDS), nowMillis);
+        }
+    }
+}
--- /dev/null
+++ b/core/src/main/java/io/hornbeamscale/core/limit/LimitCoordinator.java
@@ -0,0 +1,128 @@
+package io.hornbeamscale.core.limit;
+
+import io.hornbeamscale.core.id.CustomerId;
+import io.hornbeamscale.core.id.NodeId;
+import io.hornbeamscale.core.util.Arguments;
+import java.util.Collection;
+import java.util.HashMap;
+import java.util.Map;
+
+/**
+ * Leases one half of a customer's limits to entries by their demand. The unexpired leases never exceed that half: a new
+ * coordinator leases nothing until all leases of its predecessor have expired. Entries in k isolated groups thus admit
+ * at most (1+k)/2 times the limit. Not safe for use by several threads.
+ */
+public final class LimitCoordinator {
+    private final long leaseMillis;
+    private final Map<CustomerId, CustomerLimit> limits = new HashMap<>();
+    private final Map<CustomerId, Duty> duties = new HashMap<>();
+
+    /**
+     * Creates a coordinator.
+     *
+     * @param leaseMillis how long a lease is valid, in milliseconds, greater than 0
+     */
+    public LimitCoordinator(long leaseMillis) {
+        this.leaseMillis = Arguments.positive(leaseMillis, "leaseMillis");
+    }
+
+    /**
+     * Returns whether an entry coordinates a customer: the highest rank by hash among the live entries.
+     *
+     * @param self the entry, not null
+     * @param entries the live entries, not null
+     * @param customer the customer, not null
+     * @return whether no live entry has a higher rank
+     */
+    public static boolean isCoordinator(NodeId self, Collection<NodeId> entries, CustomerId customer) {
+        long own = Ranks.rank(self.value(), customer.value());
+        for (NodeId e : entries) {
+            long rank = Ranks.rank(e.value(), customer.value());
+            if (rank > own || (rank == own && e.value().compareTo(self.value()) > 0)) {
+                return false;
+            }
+        }
+        return true;
+    }
+
+    /**
+     * Replaces the limits.
+     *
+     * @param next the limits of the whole system, not null
+     */
+    public void configure(Collection<CustomerLimit> next) {
+        limits.clear();
+        next.forEach(l -> limits.put(l.customer(), l));
+        duties.keySet().retainAll(limits.keySet());
+    }
+
+    /**
+     * Gives up a customer, as another entry now has the highest rank.
+     *
+     * @param customer the customer, not null
+     */
+    public void resign(CustomerId customer) {
+        duties.remove(customer);
+    }
+
+    /**
+     * Returns how long a lease is valid.
+     *
+     * @return the time in milliseconds
+     */
+    public long leaseMillis() {
+        return leaseMillis;
+    }
+
+    /**
+     * Answers an entry's demand with a lease.
+     *
+     * @param entry the entry, not null
+     * @param demand its demand, not null
+     * @param nowMillis the present time
+     * @return the leased rates, valid for the lease time; zero while older leases may be valid; never null
+     */
+    public CustomerLimit lease(NodeId entry, CustomerLimit demand, long nowMillis) {
+        CustomerLimit limit = limits.get(demand.customer());
+        if (limit == null) {
+            return new CustomerLimit(demand.customer(), 0, 0);
+        }
+        Duty d = duties.computeIfAbsent(demand.customer(), k -> new Duty(nowMillis + leaseMillis));
+        d.leases.values().removeIf(l -> nowMillis >= l.untilMillis);
+        if (nowMillis < d.firstLeaseMillis) {
+            return new CustomerLimit(demand.customer(), 0, 0);
+        }
+        d.leases.remove(entry);
+        d.demands.put(entry, new Lease(demand, nowMillis + 2 * leaseMillis));
+        d.demands.values().removeIf(l -> nowMillis >= l.untilMillis);
+        double requests = share(d, limit.requestsPerSecond() / 2, demand, CustomerLimit::requestsPerSecond);
+        double tokens = share(d, limit.tokensPerSecond() / 2, demand, CustomerLimit::tokensPerSecond);
+        CustomerLimit lease = new CustomerLimit(demand.customer(), requests, tokens);
+        d.leases.put(entry, new Lease(lease, nowMillis + leaseMillis));
+        return lease;
+    }
+
+    private static double share(
+            Duty d, double half, CustomerLimit demand, java.util.function.ToDoubleFunction<CustomerLimit> rate) {
+        double asked = d.demands.values().stream()
+                .mapToDouble(l -> rate.applyAsDouble(l.rates))
+                .sum();
+        double leased = d.leases.values().stream()
+                .mapToDouble(l -> rate.applyAsDouble(l.rates))
+                .sum();
+        double fair = asked <= 0 ? 0 : half * rate.applyAsDouble(demand) / asked;
+        return Math.max(0, Math.min(fair, half - leased));
+    }
+
+    private record Lease(CustomerLimit rates, long untilMillis) {}
+
+    private static final class Duty {
+        final long firstLeaseMillis;
+        final Map<NodeId, Lease> leases = new HashMap<>();
+        final Map<NodeId, Lease> demands = new HashMap<>();
+
+        Duty(long firstLeaseMillis) {
+            this.firstLeaseMillis = firstLeaseMillis;
+        }
+    }
+}
