--- /dev/null
+++ b/core/src/main/java/io/hornbeamscale/core/agent/RunningCall.java
@@ -0,0 +1,80 @@
+package io.hornbeamscale.core.agent;
+
+import io.hornbeamscale.core.drain.RunningWork;
+import io.hornbeamscale.core.id.AttemptId;
+import io.hornbeamscale.core.id.GenerationId;
+import io.hornbeamscale.core.id.GrantId;
+import io.hornbeamscale.core.id.NodeId;
+import io.hornbeamscale.core.stream.StreamReader;
+import io.hornbeamscale.core.work.WorkItem;
+import java.util.LinkedHashSet;
+import java.util.Set;
+
+/** A call that the backend server works on. */
+final class RunningCall {
+    private final GenerationId generation;
+    private final AttemptId attempt;
+    private final GrantId grant;
+    private final NodeId entry;
+    private final WorkItem work;
+    private final Set<StreamReader> readers = new LinkedHashSet<>();
+    private long emitted;
+
+    RunningCall(
+            GenerationId generation,
+            AttemptId attempt,
+            GrantId grant,
+            NodeId entry,
+            WorkItem work,
+            StreamReader reader) {
+        this.generation = generation;
+        this.attempt = attempt;
+        this.grant = grant;
+        this.entry = entry;
+        this.work = work;
+        readers.add(reader);
+    }
+
+    GenerationId generation() {
+        return generation;
+    }
+
+    AttemptId attempt() {
+        return attempt;
+    }
+
+    GrantId grant() {
+        return grant;
+    }
+
+    NodeId entry() {
+        return entry;
+    }
+
+    WorkItem work() {
+        return work;
+    }
+
+    Set<StreamReader> readers() {
+        return readers;
+    }
+
+    long emitted() {
+        return emitted;
+    }
+
+    RunningWork forDrain() {
+        return new RunningWork(attempt, emitted > 0, work.isRepeatable(), 0, emitted);
+    }
+
+    /** Notes tokens and returns how many of them are new. */
+    int noteTokens(long offset, int count) {
+        long end = offset + count;
+        if (offset > emitted || end <= emitted) {
+            return 0;
+        }
+        int fresh = (int) (end - emitted);
+        emitted = end;
+        return fresh;
+    }
+}
--- /dev/null
+++ b/core/src/main/java/io/hornbeamscale/core/distribute/ConfigDistributor.java
@@ -0,0 +1,462 @@
+package io.hornbeamscale.core.distribute;
+
+import io.hornbeamscale.core.id.NodeId;
+import io.hornbeamscale.core.id.RegionId;
+import io.hornbeamscale.core.util.Arguments;
+import java.util.ArrayDeque;
+import java.util.ArrayList;
+import java.util.Collection;
+import java.util.Deque;
+import java.util.HashMap;
+import java.util.HashSet;
+import java.util.List;
+import java.util.Map;
+import java.util.Optional;
+import java.util.Set;
+import java.util.random.RandomGenerator;
+
+/**
+ * Distributes document versions. Two nodes per region watch the store; in regions without the store they do so only
+ * while no other region is heard, so that the paid link carries differences and no whole documents. A node that learns
+ * a version announces it to a few peers by a digest; a peer that is behind asks for the difference.
+ *
+ * <p>A version comes into force in a region only once it is settled, which means that enough holders have a copy. A
+ * starting node asks the store for its present revision, or else enough holders for their versions. Together they keep
+ * a node from coming back with an older version than it had. Not safe for use by several threads.
+ */
+public final class ConfigDistributor {
+    /** How many random peers of the region hear of a new version from each node. */
+    public static final int FANOUT = 4;
+
+    /** How often a node sends its digest to one random peer of its region, in milliseconds. */
+    public static final long DIGEST_PERIOD_MILLIS = 2_000;
+
+    /** How often the sender of a region sends its digest to the other regions, in milliseconds. */
+    public static final long LINK_PERIOD_MILLIS = 1_000;
+
+    private static final long START_SPREAD_MILLIS = 2_000;
+    private static final long START_ASK_MILLIS = 500;
+    private static final long START_READ_MILLIS = 3_000;
+    private static final long WANT_MILLIS = 1_000;
+    private static final long LINK_GRACE_MILLIS = 1_500;
+    private static final long LINK_SILENCE_MILLIS = 5_000;
+    private static final long WHOLE_WINDOW_MILLIS = 1_000;
+    private static final int MAX_WHOLE_PER_WINDOW = 2;
+    private static final int MAX_HISTORY = 8;
+
+    private final boolean isStoreRegion;
+    private final RandomGenerator random;
+    private final PeerPlan plan;
+    private final StoreSide store;
+    private final VersionGate gate = new VersionGate();
+    private final Settlement settlement = new Settlement();
+    private final Deque<ConfigSnapshot> history = new ArrayDeque<>();
+    private final Map<NodeId, ConfigMessage.Digest> better = new HashMap<>();
+    private final Set<NodeId> startAnswers = new HashSet<>();
+    private ConfigSnapshot held = ConfigSnapshot.EMPTY;
+    private long verifiedMillis;
+    private long nextAskMillis;
+    private long nextDigestMillis;
+    private long nextLinkMillis;
+    private long wantUntilMillis;
+    private long linkHeardMillis;
+    private long behindLinkSinceMillis = -1;
+    private long wholeWindowMillis;
+    private int wholeInWindow;
+    private boolean hasPeers;
+
+    /**
+     * Creates a distributor for a node that knows no document.
+     *
+     * @param self the own node, not null
+     * @param storeRegion the region of the store, not null
+     * @param random the source of jitter and of the choice of peers, not null
+     * @param nowMillis the present time
+     */
+    public ConfigDistributor(Peer self, RegionId storeRegion, RandomGenerator random, long nowMillis) {
+        Arguments.notNull(self, "self");
+        this.isStoreRegion = self.region().equals(Arguments.notNull(storeRegion, "storeRegion"));
+        this.random = Arguments.notNull(random, "random");
+        this.plan = new PeerPlan(self, random);
+        this.store = new StoreSide(random);
+        linkHeardMillis = nowMillis;
+        nextDigestMillis = nowMillis + random.nextLong(DIGEST_PERIOD_MILLIS);
+        store.delayFirst(nowMillis, START_SPREAD_MILLIS);
+    }
+
+    /**
+     * Replaces the list of live peers. Nothing comes into force before the first call, even if the list is empty.
+     *
+     * @param live the peers, with or without the own node, not null
+     */
+    public void peers(Collection<Peer> live) {
+        plan.update(Arguments.notNull(live, "live"));
+        hasPeers = true;
+    }
+
+    /**
+     * Returns the version in force.
+     *
+     * @return the version, 0 for none
+     */
+    public long versionInForce() {
+        return gate.inForce();
+    }
+
+    /**
+     * Returns whether the node has finished its start and can serve.
+     *
+     * @return whether versions can come into force
+     */
+    public boolean isStarted() {
+        return gate.isOpen();
+    }
+
+    /**
+     * Returns whether this node watches the store for its region.
+     *
+     * @return whether it is a watcher
+     */
+    public boolean isWatcher() {
+        return plan.isWatcher();
+    }
+
+    /**
+     * Checks what is due. Called every few tens to hundreds of milliseconds.
+     *
+     * @param nowMillis the present time
+     * @return the actions to carry out
+     */
+    public List<DistributeAction> tick(long nowMillis) {
+        List<DistributeAction> actions = new ArrayList<>();
+        if (gate.isOpen()) {
+            watchIfNeeded(nowMillis, actions);
+        } else {
+            starting(nowMillis, actions);
+        }
+        settleIfPossible(nowMillis, actions);
+        wantIfBehind(nowMillis, actions);
+        if (nowMillis >= nextDigestMillis) {
+            nextDigestMillis = nowMillis + DIGEST_PERIOD_MILLIS / 2 + random.nextLong(DIGEST_PERIOD_MILLIS);
+            sendDigest(plan.randomLocal(1), false, actions);
+        }
+        if (nowMillis >= nextLinkMillis && plan.isLinkSender()) {
+            nextLinkMillis = nowMillis + LINK_PERIOD_MILLIS;
+            sendDigest(plan.foreignWatchers(), false, actions);
+        }
+        return actions;
+    }
+
+    /**
+     * Handles a message of a peer.
+     *
+     * @param from the peer, not null
+     * @param message the message, not null
+     * @param nowMillis the present time
+     * @return the actions to carry out
+     */
+    public List<DistributeAction> received(NodeId from, ConfigMessage message, long nowMillis) {
+        Arguments.notNull(from, "from");
+        List<DistributeAction> actions = new ArrayList<>();
+        if (plan.isForeign(from)) {
+            linkHeardMillis = nowMillis;
+        }
+        if (Arguments.notNull(message, "message") instanceof ConfigMessage.Digest digest) {
+            digest(from, digest, nowMillis, actions);
+        } else if (message instanceof ConfigMessage.Want want) {
+            answer(from, want.haveVersion(), nowMillis, actions);
+        } else if (message instanceof ConfigMessage.Delta delta) {
+            delta(from, delta, nowMillis, actions);
+        } else if (message instanceof ConfigMessage.Whole whole) {
+            learnFromPeer(from, whole.snapshot(), whole.isSettled(), nowMillis, actions);
+        }
+        return actions;
+    }
+
+    /**
+     * Handles the store's present revision of the document's key.
+     *
+     * @param revision the revision, 0 if the key is absent
+     * @param nowMillis the present time
+     * @return the actions to carry out
+     */
+    public List<DistributeAction> storeRevision(long revision, long nowMillis) {
+        List<DistributeAction> actions = new ArrayList<>();
+        store.verified(revision);
+        verifiedMillis = nowMillis;
+        openIfSafe(actions);
+        return actions;
+    }
+
+    /**
+     * Handles a document from the store, from a read or a watch. It may be an older one.
+     *
+     * @param snapshot the document, not null
+     * @param nowMillis the present time
+     * @return the actions to carry out
+     */
+    public List<DistributeAction> storeValue(ConfigSnapshot snapshot, long nowMillis) {
+        List<DistributeAction> actions = new ArrayList<>();
+        boolean isOlder =
+                Arguments.notNull(snapshot, "snapshot").revision() < Math.max(held.revision(), store.presentRevision());
+        if (isOlder) {
+            store.failed(nowMillis);
+        } else {
+            store.answered();
+        }
+        learn(snapshot, false, nowMillis, actions);
+        return actions;
+    }
+
+    /**
+     * Handles a document that this process has just published.
+     *
+     * @param snapshot the document, not null
+     * @param nowMillis the present time
+     * @return the actions to carry out
+     */
+    public List<DistributeAction> published(ConfigSnapshot snapshot, long nowMillis) {
+        List<DistributeAction> actions = new ArrayList<>();
+        learn(Arguments.notNull(snapshot, "snapshot"), false, nowMillis, actions);
+        return actions;
+    }
+
+    /**
+     * Handles a watch that ended without a change.
+     *
+     * @param nowMillis the present time
+     * @return the actions to carry out
+     */
+    public List<DistributeAction> storeUnchanged(long nowMillis) {
+        store.answered();
+        return tick(nowMillis);
+    }
+
+    /**
+     * Handles a store that did not answer.
+     *
+     * @param nowMillis the present time
+     * @return the actions to carry out
+     */
+    public List<DistributeAction> storeFailed(long nowMillis) {
+        List<DistributeAction> actions = new ArrayList<>();
+        store.failed(nowMillis);
+        openIfSafe(actions);
+        return actions;
+    }
+
+    private void starting(long nowMillis, List<DistributeAction> actions) {
+        if (nowMillis >= nextAskMillis) {
+            nextAskMillis = nowMillis + START_ASK_MILLIS;
+            Set<NodeId> asked = new HashSet<>(plan.holders());
+            asked.addAll(plan.randomLocal(1));
+            sendDigest(asked, true, actions);
+        }
+        openIfSafe(actions);
+        if (gate.isOpen()) {
+            return;
+        }
+        if (!store.isVerified()) {
+            store.check(nowMillis, actions);
+        } else if (nowMillis >= wantUntilMillis && (plan.isHolder() || hasWaitedForPeers(nowMillis))) {
+            store.read(nowMillis, actions);
+        }
+    }
+
+    /** Only the holders read the store at once; 360 whole documents at a time would exceed what the store can send. */
+    private boolean hasWaitedForPeers(long nowMillis) {
+        return nowMillis - verifiedMillis >= START_READ_MILLIS;
+    }
+
+    private void openIfSafe(List<DistributeAction> actions) {
+        if (gate.isOpen() || !isSafeToOpen()) {
+            return;
+        }
+        gate.open();
+        if (settlement.isSettled()) {
+            applyHeld(actions);
+        }
+    }
+
+    private boolean isSafeToOpen() {
+        if (!hasPeers || held.version() < gate.floor()) {
+            return false;
+        }
+        if (store.isVerified()) {
+            return held.revision() >= store.presentRevision();
+        }
+        List<NodeId> holders = plan.holders();
+        long answers = holders.stream().filter(startAnswers::contains).count();
+        return store.hasFailed() && held.version() > 0 && answers >= Settlement.needed(holders);
+    }
+
+    private void watchIfNeeded(long nowMillis, List<DistributeAction> actions) {
+        boolean isLinkSilent = nowMillis - linkHeardMillis >= LINK_SILENCE_MILLIS;
+        if (plan.isWatcher() && (isStoreRegion || isLinkSilent)) {
+            store.watch(held.revision(), nowMillis, actions);
+        }
+    }
+
+    private void settleIfPossible(long nowMillis, List<DistributeAction> actions) {
+        if (settlement.isSettled() || !hasPeers) {
+            return;
+        }
+        if (settlement.hasEnoughCopies(plan.holders())) {
+            settle(actions);
+        } else if (settlement.isDue(plan.isWatcher(), nowMillis)) {
+            sendDigest(plan.holders(), true, actions);
+        }
+    }
+
+    private void settle(List<DistributeAction> actions) {
+        settlement.settle();
+        if (gate.isOpen()) {
+            applyHeld(actions);
+        }
+    }
+
+    private void digest(NodeId from, ConfigMessage.Digest digest, long nowMillis, List<DistributeAction> actions) {
+        gate.raiseFloor(digest.version());
+        if (!gate.isOpen() && digest.isStarted()) {
+            startAnswers.add(from);
+        }
+        if (digest.version() > held.version()) {
+            better.put(from, digest);
+            if (isLinkBackup(from) && behindLinkSinceMillis < 0) {
+                behindLinkSinceMillis = nowMillis;
+            }
+            wantIfBehind(nowMillis, actions);
+        } else if (digest.version() == held.version()) {
+            sameVersion(from, digest.isSettled(), nowMillis, actions);
+        } else if (digest.isStarted() && !isLinkBackup(from)) {
+            answer(from, digest.version(), nowMillis, actions);
+        }
+        if (digest.wantsReply()) {
+            sendDigest(List.of(from), false, actions);
+        }
+        openIfSafe(actions);
+    }
+
+    private void sameVersion(NodeId from, boolean isSettled, long nowMillis, List<DistributeAction> actions) {
+        settlement.copied(from);
+        if (!settlement.isSettled() && isSettled && !plan.isForeign(from)) {
+            settle(actions);
+        }
+        settleIfPossible(nowMillis, actions);
+    }
+
+    /** The second watcher of a region leaves the paid link to the first for a while. */
+    private boolean isLinkBackup(NodeId from) {
+        return plan.isForeign(from) && !plan.isLinkSender();
+    }
+
+    private void wantIfBehind(long nowMillis, List<DistributeAction> actions) {
+        better.values().removeIf(d -> d.version() <= held.version());
+        if (better.isEmpty() || nowMillis < wantUntilMillis) {
+            return;
+        }
+        boolean isLinkAllowed = plan.isLinkSender()
+                || (behindLinkSinceMillis >= 0 && nowMillis - behindLinkSinceMillis >= LINK_GRACE_MILLIS);
+        List<NodeId> candidates = better.keySet().stream()
+                .filter(n -> isLinkAllowed || !plan.isForeign(n))
+                .sorted((a, b) -> a.value().compareTo(b.value()))
+                .toList();
+        if (candidates.isEmpty()) {
+            return;
+        }
+        NodeId chosen = candidates.get(random.nextInt(candidates.size()));
+        better.remove(chosen);
+        wantUntilMillis = nowMillis + WANT_MILLIS;
+        actions.add(new DistributeAction.Send(chosen, new ConfigMessage.Want(held.version())));
+    }
+
+    private void answer(NodeId to, long haveVersion, long nowMillis, List<DistributeAction> actions) {
+        if (haveVersion >= held.version()) {
+            return;
+        }
+        for (ConfigSnapshot old : history) {
+            if (old.version() == haveVersion && haveVersion > 0) {
+                ConfigDelta delta = ConfigDelta.between(old, held);
+                ConfigMessage message = new ConfigMessage.Delta(delta, settlement.isSettled());
+                actions.add(new DistributeAction.Send(to, message));
+                return;
+            }
+        }
+        // Without this limit, nodes that recover together would all draw whole documents from the first one.
+        if (nowMillis - wholeWindowMillis >= WHOLE_WINDOW_MILLIS) {
+            wholeWindowMillis = nowMillis;
+            wholeInWindow = 0;
+        }
+        if (wholeInWindow < MAX_WHOLE_PER_WINDOW) {
+            wholeInWindow++;
+            ConfigMessage message = new ConfigMessage.Whole(held, settlement.isSettled());
+            actions.add(new DistributeAction.Send(to, message));
+        }
+    }
+
+    private void delta(NodeId from, ConfigMessage.Delta message, long nowMillis, List<DistributeAction> actions) {
+        ConfigDelta delta = message.delta();
+        if (delta.toVersion() <= held.version()) {
+            return;
+        }
+        Optional<ConfigSnapshot> result = delta.applyTo(held);
+        if (result.isPresent()) {
+            learnFromPeer(from, result.get(), message.isSettled(), nowMillis, actions);
+            return;
+        }
+        long have = delta.fromVersion() == held.version() ? 0 : held.version();
+        wantUntilMillis = nowMillis + WANT_MILLIS;
+        actions.add(new DistributeAction.Send(from, new ConfigMessage.Want(have)));
+    }
+
+    private void learnFromPeer(
+            NodeId from, ConfigSnapshot snapshot, boolean isSettled, long nowMillis, List<DistributeAction> actions) {
+        // Copies in another region do not help a node of this region that starts while the link is down.
+        learn(snapshot, isSettled && !plan.isForeign(from), nowMillis, actions);
+        if (snapshot.version() == held.version()) {
+            settlement.copied(from);
+        }
+        sendDigest(List.of(from), false, actions);
+    }
+
+    private void learn(ConfigSnapshot snapshot, boolean isSettled, long nowMillis, List<DistributeAction> actions) {
+        if (snapshot.version() > held.version()) {
+            history.addFirst(held);
+            if (history.size() > MAX_HISTORY) {
+                history.removeLast();
+            }
+            held = snapshot;
+            settlement.reset(isSettled);
+            wantUntilMillis = nowMillis;
+            behindLinkSinceMillis = -1;
+            if (gate.isOpen() && isSettled) {
+                applyHeld(actions);
+            }
+            settleIfPossible(nowMillis, actions);
+        }
+        openIfSafe(actions);
+    }
+
+    private void applyHeld(List<DistributeAction> actions) {
+        if (held.version() > 0 && gate.tryApply(held.version())) {
+            actions.add(new DistributeAction.Apply(held));
+            announce(actions);
+        }
+    }
+
+    private void announce(List<DistributeAction> actions) {
+        sendDigest(plan.randomLocal(FANOUT), false, actions);
+        if (plan.isWatcher()) {
+            sendDigest(plan.holders(), false, actions);
+        }
+        if (plan.isLinkSender()) {
+            sendDigest(plan.foreignWatchers(), false, actions);
+        }
+    }
+
+    private void sendDigest(Collection<NodeId> peers, boolean wantsReply, List<DistributeAction> actions) {
+        ConfigMessage digest = new ConfigMessage.Digest(
+                held.version(), held.revision(), settlement.isSettled(), gate.isOpen(), wantsReply);
+        peers.forEach(peer -> actions.add(new DistributeAction.Send(peer, digest)));
+    }
+}
--- /dev/null
+++ b/core/src/main/java/io/hornbeamscale/core/entry/package-info.java
@@ -0,0 +1,2 @@
+/** Composes the decisions of an entry. */
+package io.hornbeamscale.core.entry;
--- /dev/null
+++ b/daemon/src/main/java/io/hornbeamscale/daemon/Main.java
@@ -0,0 +1,64 @@
+package io.hornbeamscale.daemon;
+
+import com.beust.jcommander.JCommander;
+import com.beust.jcommander.ParameterException;
+import io.hornbeamscale.daemon.config.ConfigCommand;
+import java.util.Arrays;
+import java.util.LinkedHashMap;
+import java.util.Map;
+
+/** The program: one subcommand for each role. */
+public final class Main {
+    /** The exit status after wrong arguments or settings. */
+    static final int BAD_USAGE = 2;
+
+    private Main() {}
+
+    /**
+     * Runs the program.
+     *
+     * @param args the arguments, not null
+     */
+    public static void main(String[] args) {
+        int status = run(args);
+        if (status != 0) {
+            System.exit(status);
+        }
+    }
+
+    /** Runs a subcommand and returns the exit status. */
+    static int run(String... args) {
+        if (args.length > 0 && args[0].equals("config")) {
+            return ConfigCommand.run(Arrays.copyOfRange(args, 1, args.length), System.out, System.err);
+        }
+        Map<String, Command> commands = new LinkedHashMap<>();
+        commands.put("entry", new EntryCommand());
+        commands.put("agent", new AgentCommand());
+        commands.put("status", new StatusCommand());
+        JCommander parser = JCommander.newBuilder().programName("hornbeamscale").build();
+        commands.forEach(parser::addCommand);
+        try {
+            parser.parse(args);
+        } catch (ParameterException e) {
+            System.err.println(e.getMessage());
+            System.err.println("Use --help after a command to see its options.");
+            return BAD_USAGE;
+        }
+        String name = parser.getParsedCommand();
+        Command command = commands.get(name);
+        if (command == null) {
+            parser.usage();
+            return BAD_USAGE;
+        }
+        if (command.isHelp()) {
+            parser.getUsageFormatter().usage(name);
+            return 0;
+        }
+        try {
+            return command.run();
+        } catch (SettingsException e) {
+            System.err.println(e.getMessage());
+            return BAD_USAGE;
+        }
+    }
+}
--- /dev/null
+++ b/wire/src/main/java/io/hornbeamscale/wire/message/package-info.java
@@ -0,0 +1,2 @@
+/** The messages between processes, one record for each type. */
+package io.hornbeamscale.wire.message;
