--- a/core/src/main/java/io/hornbeamscale/core/limit/CustomerLimiter.java
+++ b/core/src/main/java/io/hornbeamscale/core/limit/CustomerLimiter.java
@@ -34,7 +34,7 @@
         Map<CustomerId, Share> kept = new HashMap<>();
         for (CustomerLimit l : limits) {
             Share s = shares.get(l.customer());
-            kept.put(l.customer(), s == null ? new Share(l, nowMillis) : s);
+            kept.put(l.customer(), s == null ? new Share(l, entries, nowMillis) : s);
             kept.get(l.customer()).limit = l;
         }
         shares.clear();
@@ -129,13 +129,17 @@
         double askedTokens;
         long askedSinceMillis;
 
-        Share(CustomerLimit limit, long nowMillis) {
+        Share(CustomerLimit limit, int entries, long nowMillis) {
             this.limit = limit;
-            this.requests = new TokenBucket(0, 1, nowMillis);
-            this.tokens = new TokenBucket(0, 1, nowMillis);
+            this.requests = full(limit.requestsPerSecond() / 2 / entries, nowMillis);
+            this.tokens = full(limit.tokensPerSecond() / 2 / entries, nowMillis);
             this.askedSinceMillis = nowMillis;
         }
 
+        private static TokenBucket full(double rate, long nowMillis) {
+            return new TokenBucket(rate, Math.max(1, rate * BURST_SECONDS), nowMillis);
+        }
+
         void expire(int entries, long nowMillis) {
             if (lease != null && nowMillis >= leaseUntilMillis) {
                 lease = null;
--- /dev/null
+++ b/core/src/test/java/io/hornbeamscale/core/dispatch/SubsetSelectorTest.java
@@ -0,0 +1,72 @@
+package io.hornbeamscale.core.dispatch;
+
+import static org.junit.jupiter.api.Assertions.assertTrue;
+
+import io.hornbeamscale.core.id.BackendId;
+import io.hornbeamscale.core.id.NodeId;
+import io.hornbeamscale.core.id.RegionId;
+import io.hornbeamscale.core.id.ServiceId;
+import io.hornbeamscale.core.id.ZoneId;
+import java.util.ArrayList;
+import java.util.HashMap;
+import java.util.HashSet;
+import java.util.List;
+import java.util.Map;
+import java.util.Set;
+import org.junit.jupiter.api.Test;
+
+/** Guards against uneven subsets and against much change when an entry fails, at 360 entries and 600 runners. */
+class SubsetSelectorTest {
+    private static final int ENTRIES = 360;
+    private static final int RUNNERS = 600;
+    private static final int SIZE = 24;
+    private static final RegionId REGION = new RegionId("r");
+
+    private final SubsetSelector selector = new SubsetSelector(SIZE, 2);
+    private final List<NodeId> entries = new ArrayList<>();
+    private final List<BackendPlace> runners = new ArrayList<>();
+
+    SubsetSelectorTest() {
+        for (int i = 0; i < ENTRIES; i++) {
+            entries.add(new NodeId("entry-" + i));
+        }
+        for (int i = 0; i < RUNNERS; i++) {
+            runners.add(new BackendPlace(
+                    new BackendId("runner-" + i), new ServiceId("s"), "m", new ZoneId("z" + i % 8), REGION));
+        }
+    }
+
+    private Map<NodeId, Set<BackendPlace>> select(List<NodeId> live) {
+        Map<NodeId, Set<BackendPlace>> all = new HashMap<>();
+        live.forEach(e -> all.put(e, new HashSet<>(selector.select(e, REGION, live, runners))));
+        return all;
+    }
+
+    /** Each server's watchers differ by at most two from the mean of 14.4. */
+    @Test
+    void serversAreWatchedEvenly() {
+        Map<BackendPlace, Integer> watchers = new HashMap<>();
+        select(entries).values().forEach(s -> s.forEach(p -> watchers.merge(p, 1, Integer::sum)));
+        double mean = (double) ENTRIES * SIZE / RUNNERS;
+        for (BackendPlace p : runners) {
+            double count = watchers.getOrDefault(p, 0);
+            assertTrue(Math.abs(count - mean) <= 2, p + " has " + count);
+        }
+    }
+
+    /** The loss of one entry replaces at most two of the 24 servers of any other entry. */
+    @Test
+    void lossOfAnEntryMovesLittle() {
+        Map<NodeId, Set<BackendPlace>> before = select(entries);
+        for (int lost = 0; lost < ENTRIES; lost += 60) {
+            List<NodeId> live = new ArrayList<>(entries);
+            live.remove(lost);
+            Map<NodeId, Set<BackendPlace>> after = select(live);
+            for (NodeId e : live) {
+                Set<BackendPlace> added = new HashSet<>(after.get(e));
+                added.removeAll(before.get(e));
+                assertTrue(added.size() <= 2, e + " adds " + added.size());
+            }
+        }
+    }
+}
--- /dev/null
+++ b/measure/src/main/java/io/hornbeamscale/measure/bench/RoutingBenchmark.java
@@ -0,0 +1,143 @@
+package io.hornbeamscale.measure.bench;
+
+import io.hornbeamscale.core.dispatch.BackendPlace;
+import io.hornbeamscale.core.dispatch.DispatchAction;
+import io.hornbeamscale.core.dispatch.DispatcherConfig;
+import io.hornbeamscale.core.dispatch.ReservationDispatcher;
+import io.hornbeamscale.core.id.BackendId;
+import io.hornbeamscale.core.id.CustomerId;
+import io.hornbeamscale.core.id.GrantId;
+import io.hornbeamscale.core.id.RegionId;
+import io.hornbeamscale.core.id.RequestId;
+import io.hornbeamscale.core.id.ServiceId;
+import io.hornbeamscale.core.id.ZoneId;
+import io.hornbeamscale.core.work.BackendStatus;
+import io.hornbeamscale.core.work.WorkItem;
+import java.io.PrintStream;
+import java.util.ArrayList;
+import java.util.List;
+import java.util.Set;
+import java.util.SplittableRandom;
+
+/**
+ * Measures the routing decision on one core: submit, grant, first tokens and end of one request, with a status report
+ * for every fourth request. Prints the time per decision by the number of watched backend servers, and its slope.
+ */
+public final class RoutingBenchmark {
+    private static final int[] SERVERS = {24, 150, 300, 600, 1_200};
+    private static final int WARM_UP = 200_000;
+    private static final int RUNS = 300_000;
+    private static final int ZONES = 8;
+
+    private RoutingBenchmark() {}
+
+    /**
+     * Runs the benchmark.
+     *
+     * @param args not used
+     */
+    public static void main(String[] args) {
+        run(System.out, WARM_UP, RUNS);
+    }
+
+    /**
+     * Runs the benchmark.
+     *
+     * @param out where the figures go, not null
+     * @param warmUp the number of decisions before the measurement
+     * @param runs the number of measured decisions per size
+     */
+    public static void run(PrintStream out, int warmUp, int runs) {
+        double[] micros = new double[SERVERS.length];
+        out.printf("%10s %14s %16s %18s%n", "servers", "us/decision", "decisions/s", "us/straggler scan");
+        for (int i = 0; i < SERVERS.length; i++) {
+            ReservationDispatcher d = create(SERVERS[i]);
+            decide(d, SERVERS[i], 0, warmUp);
+            long start = System.nanoTime();
+            decide(d, SERVERS[i], warmUp, runs);
+            micros[i] = (System.nanoTime() - start) / 1e3 / runs;
+            out.printf("%10d %14.3f %16.0f %18.1f%n", SERVERS[i], micros[i], 1e6 / micros[i], scan(d));
+        }
+        out.printf("slope: %.3f us per 1000 watched servers%n", slope(micros) * 1_000);
+    }
+
+    private static ReservationDispatcher create(int servers) {
+        RegionId region = new RegionId("r");
+        DispatcherConfig config =
+                DispatcherConfig.builder(new ZoneId("z0"), region).build();
+        ReservationDispatcher d = new ReservationDispatcher(config, new SplittableRandom(1));
+        List<BackendPlace> places = new ArrayList<>();
+        for (int i = 0; i < servers; i++) {
+            places.add(new BackendPlace(
+                    new BackendId("b" + i), new ServiceId("s"), "m", new ZoneId("z" + i % ZONES), region));
+        }
+        d.watch(places, 0);
+        for (int i = 0; i < servers; i++) {
+            d.status(status(i, 0), 0);
+        }
+        return d;
+    }
+
+    private static BackendStatus status(int server, int round) {
+        int load = (server * 31 + round) % 40;
+        return new BackendStatus(
+                new BackendId("b" + server), 1, 56_000, load * 1_000L, load, 0, 0, 25 + load / 10.0, false, Set.of(1L));
+    }
+
+    private static void decide(ReservationDispatcher d, int servers, int from, int runs) {
+        for (int i = from; i < from + runs; i++) {
+            if (i % 4 == 0) {
+                d.status(status(i / 4 % servers, i), i / 10);
+            }
+            WorkItem work = work(i);
+            List<DispatchAction> out = d.submit(work, i / 10);
+            DispatchAction.SendReserve r = (DispatchAction.SendReserve) out.get(0);
+            d.granted(r.backend(), r.attempt(), new GrantId(1, i), 1_000, i / 10);
+            d.tokens(r.attempt(), 1, i / 10);
+            d.ended(r.attempt(), i / 10);
+        }
+    }
+
+    private static WorkItem work(int number) {
+        return new WorkItem(
+                new RequestId("q" + number),
+                new ServiceId("s"),
+                new CustomerId("c" + number % 500),
+                "short",
+                5,
+                200,
+                1_000,
+                List.of((long) number % 97),
+                number / 10,
+                number / 10 + 30_000L,
+                true,
+                false,
+                false);
+    }
+
+    /** The time of the scan for stragglers that a tick makes ten times per second. */
+    private static double scan(ReservationDispatcher d) {
+        int scans = 200;
+        long start = System.nanoTime();
+        for (int i = 0; i < scans; i++) {
+            d.tick(1_000_000L + i * 100L);
+        }
+        return (System.nanoTime() - start) / 1e3 / scans;
+    }
+
+    private static double slope(double[] micros) {
+        double meanX = 0;
+        double meanY = 0;
+        for (int i = 0; i < SERVERS.length; i++) {
+            meanX += (double) SERVERS[i] / SERVERS.length;
+            meanY += micros[i] / SERVERS.length;
+        }
+        double top = 0;
+        double bottom = 0;
+        for (int i = 0; i < SERVERS.length; i++) {
+            top += (SERVERS[i] - meanX) * (micros[i] - meanY);
+            bottom += (SERVERS[i] - meanX) * (SERVERS[i] - meanX);
+        }
+        return top / bottom;
+    }
+}
--- /dev/null
+++ b/measure/src/main/java/io/hornbeamscale/measure/bench/package-info.java
@@ -0,0 +1,2 @@
+/** Micro-benchmarks of decisions. */
+package io.hornbeamscale.measure.bench;
