--- a/core/src/main/java/io/hornbeamscale/core/agent/AgentController.java
+++ b/core/src/main/java/io/hornbeamscale/core/agent/AgentController.java
@@ -186,10 +186,10 @@
         if (call == null) {
             return actions;
         }
-        for (StreamReader reader : call.readers()) {
-            actions.add(
-                    new AgentAction.SendAnswer(reader.entry(), reader.attempt(), generation, status, headers, body));
+        if (!call.work().isRepeatable()) {
+            answers.add(call.attempt(), status, headers.getOrDefault("content-type", ""), body);
         }
+        call.answer(status, headers, body, actions);
         finish(call, true, actions, nowMillis);
         return actions;
     }
--- a/core/src/main/java/io/hornbeamscale/core/agent/RunningCall.java
+++ b/core/src/main/java/io/hornbeamscale/core/agent/RunningCall.java
@@ -6,8 +6,11 @@
 import io.hornbeamscale.core.id.GrantId;
 import io.hornbeamscale.core.id.NodeId;
 import io.hornbeamscale.core.stream.StreamReader;
+import io.hornbeamscale.core.work.Payload;
 import io.hornbeamscale.core.work.WorkItem;
 import java.util.LinkedHashSet;
+import java.util.List;
+import java.util.Map;
 import java.util.Set;
 
 /** A call that the backend server works on. */
@@ -63,6 +66,13 @@
         return emitted;
     }
 
+    void answer(int status, Map<String, String> headers, Payload body, List<AgentAction> actions) {
+        for (StreamReader reader : readers) {
+            actions.add(
+                    new AgentAction.SendAnswer(reader.entry(), reader.attempt(), generation, status, headers, body));
+        }
+    }
+
     RunningWork forDrain() {
         return new RunningWork(attempt, emitted > 0, work.isRepeatable(), 0, emitted);
     }
--- a/daemon/src/main/java/io/hornbeamscale/daemon/CallerExchange.java
+++ b/daemon/src/main/java/io/hornbeamscale/daemon/CallerExchange.java
@@ -27,13 +27,8 @@
     private boolean isStarted;
     private boolean isShutdown;
 
-    CallerExchange(HttpServerExchange exchange, EntryMetrics metrics) {
+    CallerExchange(HttpServerExchange exchange) {
         this.exchange = exchange;
-        metrics.responseBegun();
-        exchange.addExchangeCompleteListener((ended, next) -> {
-            metrics.responseSent();
-            next.proceed();
-        });
     }
 
     /** Returns whether the head of the response was sent. */
--- a/daemon/src/main/java/io/hornbeamscale/daemon/CallerHandler.java
+++ b/daemon/src/main/java/io/hornbeamscale/daemon/CallerHandler.java
@@ -158,8 +158,7 @@
                 // The rest of the request is not read, so the connection cannot carry another one.
                 exchange.setPersistent(false);
             }
-            new CallerExchange(exchange, entry.metrics())
-                    .respond(status, Responses.errorHeaders(e.kind(), 0, id), body);
+            new CallerExchange(exchange).respond(status, Responses.errorHeaders(e.kind(), 0, id), body);
         });
     }
 }
--- a/daemon/src/main/java/io/hornbeamscale/daemon/EntryDaemon.java
+++ b/daemon/src/main/java/io/hornbeamscale/daemon/EntryDaemon.java
@@ -176,7 +176,7 @@
         RequestId id = request.work().request();
         Caller caller = new Caller(
                 id,
-                new CallerExchange(exchange, metrics),
+                new CallerExchange(exchange),
                 request.isStreaming(),
                 request.work().model(),
                 request.work().promptTokens());
@@ -190,7 +190,7 @@
 
     /** Passes the resumption of a stream to the control thread. */
     void resume(RequestId id, CustomerId customer, EventId last, HttpServerExchange exchange) {
-        Caller caller = new Caller(id, new CallerExchange(exchange, metrics), true, "", 0);
+        Caller caller = new Caller(id, new CallerExchange(exchange), true, "", 0);
         watch(id, exchange);
         control.execute(() -> {
             callers.put(id, caller);
@@ -286,7 +286,11 @@
     }
 
     private void watch(RequestId id, HttpServerExchange exchange) {
-        exchange.getConnection().addCloseListener(connection -> control.execute(() -> gone(id)));
+        metrics.responseBegun();
+        CallerConnection.watch(exchange, metrics::responseSent, () -> {
+            metrics.responseSent();
+            control.execute(() -> gone(id));
+        });
     }
 
     private void gone(RequestId id) {
