--- a/daemon/src/main/java/io/hornbeamscale/daemon/AdminServer.java
+++ b/daemon/src/main/java/io/hornbeamscale/daemon/AdminServer.java
@@ -1,9 +1,9 @@
 package io.hornbeamscale.daemon;
 
 import com.codahale.metrics.MetricRegistry;
-import com.fasterxml.jackson.core.JsonProcessingException;
 import com.fasterxml.jackson.databind.ObjectMapper;
 import io.undertow.Undertow;
+import io.undertow.server.HttpHandler;
 import io.undertow.server.HttpServerExchange;
 import io.undertow.util.Headers;
 import java.net.InetSocketAddress;
@@ -17,6 +17,7 @@
 
     private final Undertow server;
     private final MetricRegistry registry;
+    private final HttpHandler console;
     private final BooleanSupplier isReady;
     private final Supplier<Map<String, Object>> status;
 
@@ -24,7 +25,9 @@
             InetSocketAddress address,
             MetricRegistry registry,
             BooleanSupplier isReady,
-            Supplier<Map<String, Object>> status) {
+            Supplier<Map<String, Object>> status,
+            HttpHandler console) {
+        this.console = console;
         this.registry = registry;
         this.isReady = isReady;
         this.status = status;
@@ -46,7 +49,11 @@
         server.stop();
     }
 
-    private void handle(HttpServerExchange exchange) throws JsonProcessingException {
+    private void handle(HttpServerExchange exchange) throws Exception {
+        if (console != null && exchange.getRequestPath().startsWith("/console")) {
+            console.handleRequest(exchange);
+            return;
+        }
         switch (exchange.getRequestPath()) {
             case "/metrics" -> send(exchange, 200, "text/plain; version=0.0.4", PrometheusText.of(registry));
             case "/health" -> send(exchange, 200, "text/plain", "ok\n");
--- a/daemon/src/main/java/io/hornbeamscale/daemon/AgentDaemon.java
+++ b/daemon/src/main/java/io/hornbeamscale/daemon/AgentDaemon.java
@@ -108,7 +108,7 @@
         registry.gauge("bad_frames", () -> frames::badFrames);
         registry.gauge("unknown_messages", () -> frames::unknownTypes);
         registry.gauge("control_queue", () -> control::waiting);
-        admin = new AdminServer(settings.admin(), registry, () -> !drain.isDraining(), this::statusFields);
+        admin = new AdminServer(settings.admin(), registry, () -> !drain.isDraining(), this::statusFields, null);
         adminAddress = admin.start();
         address = frames.listen(settings.listen(), EntryLink::new);
         LOG.info("Agent of {} listens on {}, incarnation {}.", backend, Addresses.format(address), incarnation);
@@ -305,7 +305,13 @@
             carryOut(controller.entryLost(entry, now));
         }
         connection.send(new Hello(
-                backend.value(), "agent", incarnation, MessageCodec.PROTOCOL_VERSION, 0, Addresses.format(address)));
+                backend.value(),
+                "agent",
+                incarnation,
+                MessageCodec.PROTOCOL_VERSION,
+                0,
+                Addresses.format(address),
+                ""));
         connection.send(Messages.of(controller.status(now), 0));
         LOG.info("Entry {} is connected.", entry);
     }
--- a/daemon/src/main/java/io/hornbeamscale/daemon/AgentLinks.java
+++ b/daemon/src/main/java/io/hornbeamscale/daemon/AgentLinks.java
@@ -106,7 +106,7 @@
 
         @Override
         public void opened(FrameConnection opened) {
-            opened.send(new Hello(node, "entry", incarnation, MessageCodec.PROTOCOL_VERSION, 0, ""));
+            opened.send(new Hello(node, "entry", incarnation, MessageCodec.PROTOCOL_VERSION, 0, "", ""));
             control.execute(() -> {
                 isOpen = links.get(backend) == this;
                 pauseMillis = FIRST_PAUSE_MILLIS;
--- /dev/null
+++ b/daemon/src/main/java/io/hornbeamscale/daemon/ClaimMessages.java
@@ -0,0 +1,50 @@
+package io.hornbeamscale.daemon;
+
+import com.fasterxml.jackson.core.JsonProcessingException;
+import com.fasterxml.jackson.databind.DeserializationFeature;
+import com.fasterxml.jackson.databind.ObjectMapper;
+import io.hornbeamscale.core.error.ErrorKind;
+import io.hornbeamscale.core.error.RunOutcome;
+import io.hornbeamscale.core.error.ServingException;
+import io.hornbeamscale.wire.message.ClaimAnswer;
+import io.hornbeamscale.wire.message.ClaimForward;
+
+/** Translates changes of claims between entries; their content travels as JSON. */
+final class ClaimMessages {
+    private static final ObjectMapper JSON =
+            new ObjectMapper().disable(DeserializationFeature.FAIL_ON_UNKNOWN_PROPERTIES);
+
+    private ClaimMessages() {}
+
+    static ClaimForward of(io.hornbeamscale.core.claim.ClaimForward forward) {
+        return new ClaimForward(forward.opId(), write(forward));
+    }
+
+    static ClaimAnswer of(io.hornbeamscale.core.claim.ClaimAnswer answer) {
+        return new ClaimAnswer(answer.opId(), write(answer));
+    }
+
+    static io.hornbeamscale.core.claim.ClaimForward forward(ClaimForward m) {
+        return read(m.content(), io.hornbeamscale.core.claim.ClaimForward.class);
+    }
+
+    static io.hornbeamscale.core.claim.ClaimAnswer answer(ClaimAnswer m) {
+        return read(m.content(), io.hornbeamscale.core.claim.ClaimAnswer.class);
+    }
+
+    private static String write(Object value) {
+        try {
+            return JSON.writeValueAsString(value);
+        } catch (JsonProcessingException e) {
+            throw new IllegalStateException("cannot write JSON", e);
+        }
+    }
+
+    private static <T> T read(String text, Class<T> type) {
+        try {
+            return JSON.readValue(text, type);
+        } catch (JsonProcessingException e) {
+            throw new ServingException(ErrorKind.BAD_FRAME, RunOutcome.UNKNOWN, "malformed claim message", e);
+        }
+    }
+}
--- a/daemon/src/main/java/io/hornbeamscale/daemon/EntryDaemon.java
+++ b/daemon/src/main/java/io/hornbeamscale/daemon/EntryDaemon.java
@@ -1,11 +1,13 @@
 package io.hornbeamscale.daemon;
 
+import io.hornbeamscale.console.ConsoleHandler;
 import io.hornbeamscale.core.claim.ClaimController;
 import io.hornbeamscale.core.claim.ClaimOwner;
 import io.hornbeamscale.core.claim.ClaimSettings;
 import io.hornbeamscale.core.dispatch.BackendPlace;
 import io.hornbeamscale.core.dispatch.DispatcherConfig;
 import io.hornbeamscale.core.dispatch.ReservationDispatcher;
+import io.hornbeamscale.core.distribute.Peer;
 import io.hornbeamscale.core.document.BackendSpec;
 import io.hornbeamscale.core.document.Document;
 import io.hornbeamscale.core.document.LimitsSpec;
@@ -35,6 +37,8 @@
 import io.hornbeamscale.platform.KeyValueStore;
 import io.hornbeamscale.platform.PlatformIo;
 import io.hornbeamscale.wire.FrameLoop;
+import io.hornbeamscale.wire.message.ClaimAnswer;
+import io.hornbeamscale.wire.message.ClaimForward;
 import io.hornbeamscale.wire.message.End;
 import io.hornbeamscale.wire.message.Failed;
 import io.hornbeamscale.wire.message.Grant;
@@ -45,8 +49,10 @@
 import io.hornbeamscale.wire.message.Tokens;
 import io.undertow.Undertow;
 import io.undertow.UndertowOptions;
+import io.undertow.server.HttpHandler;
 import io.undertow.server.HttpServerExchange;
 import java.net.InetSocketAddress;
+import java.security.SecureRandom;
 import java.util.ArrayList;
 import java.util.HashMap;
 import java.util.LinkedHashMap;
@@ -59,7 +65,7 @@
 import org.xnio.Options;
 
 /** The entry process: it accepts callers over HTTP and hands their requests to agents. */
-final class EntryDaemon implements AutoCloseable, AgentLinks.Events {
+final class EntryDaemon implements AutoCloseable, AgentLinks.Events, PeerLinks.Events {
     private static final Logger LOG = LogManager.getLogger("entry");
     private static final int HEADER_ROOM_BYTES = 1 << 20;
     private static final int IO_THREADS = 4;
@@ -72,6 +78,8 @@
     private final ControlLoop control;
     private final FrameLoop frames;
     private final AgentLinks agents;
+    private final PeerLinks peers;
+    private final ConfigNode config;
     private final PlatformIo platform;
     private final KeyValueStore store;
     private final EntryMetrics metrics = new EntryMetrics();
@@ -105,7 +113,9 @@
                 () -> controller.responses().running(),
                 this::giveUp);
         this.frames = new FrameLoop("entry-frames");
-        this.agents = new AgentLinks(settings.node(), Incarnations.next(), frames, control, this);
+        this.agents = new AgentLinks(settings.node(), incarnation, frames, control, this);
+        this.peers = new PeerLinks(settings, incarnation, frames, control, this);
+        this.config = new ConfigNode(settings, store, control, peers::send, this::apply);
     }
 
     /** Starts the entry and returns the address for callers. */
@@ -115,13 +125,16 @@
             Document document = SettingsFiles.document(settings.document());
             control.execute(() -> apply(document));
         }
+        LOG.info("Other entries connect to {}.", Addresses.format(peers.listen()));
+        control.execute(peers::connect);
+        metrics.gauge("config_version", config::version);
         metrics.gauge("open_requests", () -> openRequests);
         metrics.gauge("known_agents", () -> knownAgents);
         metrics.gauge("dropped_frames", controller::droppedFrames);
         metrics.gauge("bad_frames", frames::badFrames);
         metrics.gauge("unknown_messages", frames::unknownTypes);
         metrics.gauge("control_queue", control::waiting);
-        admin = new AdminServer(settings.admin(), metrics.registry(), this::isReady, this::statusFields);
+        admin = new AdminServer(settings.admin(), metrics.registry(), this::isReady, this::statusFields, console());
         adminAddress = admin.start();
         server = Undertow.builder()
                 .addHttpListener(
@@ -276,6 +289,26 @@
         carryOut(controller.lost(backend, ControlLoop.now()));
     }
 
+    @Override
+    public void received(NodeId peer, Message message) {
+        long now = ControlLoop.now();
+        if (message instanceof ClaimForward m) {
+            carryOut(controller.claims().forwarded(peer, ClaimMessages.forward(m), now));
+        } else if (message instanceof ClaimAnswer m) {
+            carryOut(controller.claims().answered(ClaimMessages.answer(m), now));
+        } else {
+            config.received(peer, message, now);
+        }
+    }
+
+    @Override
+    public void peersChanged(List<Peer> live) {
+        config.peers(live);
+        List<NodeId> nodes = new ArrayList<>(List.of(new NodeId(settings.node())));
+        live.forEach(peer -> nodes.add(peer.node()));
+        carryOut(controller.claims().members(nodes, ControlLoop.now()));
+    }
+
     private static RunOutcome outcome(String code) {
         try {
             return RunOutcome.valueOf(code.toUpperCase(Locale.ROOT));
@@ -300,6 +333,13 @@
         }
     }
 
+    private HttpHandler console() {
+        if (settings.console() == null || store == null) {
+            return null;
+        }
+        return new ConsoleHandler(settings.console(), store, new SecureRandom(), System::currentTimeMillis);
+    }
+
     private boolean isReady() {
         return !drain.isDraining() && knownAgents > 0;
     }
@@ -308,6 +348,7 @@
         Map<String, Object> fields = new LinkedHashMap<>();
         fields.put("role", "entry");
         fields.put("node", settings.node());
+        fields.put("config_version", config.version());
         fields.put("open_requests", openRequests);
         fields.put("known_agents", knownAgents);
         fields.put("draining", drain.isDraining());
@@ -329,6 +370,8 @@
         drain.tick(0);
         carryOut(controller.tick(ControlLoop.now()));
         agents.tick(ControlLoop.now());
+        peers.tick(ControlLoop.now());
+        config.tick(ControlLoop.now());
         openRequests = callers.size();
         knownAgents = agents.known();
     }
@@ -356,6 +399,10 @@
                 agents.send(a.backend(), Messages.of(a));
             } else if (action instanceof EntryAction.CallStore a) {
                 callStore(a.call());
+            } else if (action instanceof EntryAction.SendClaimForward a) {
+                peers.send(a.writer(), ClaimMessages.of(a.forward()));
+            } else if (action instanceof EntryAction.SendClaimAnswer a) {
+                peers.send(a.entry(), ClaimMessages.of(a.answer()));
             } else {
                 answer(action);
             }
--- a/daemon/src/main/java/io/hornbeamscale/daemon/EntrySettings.java
+++ b/daemon/src/main/java/io/hornbeamscale/daemon/EntrySettings.java
@@ -1,5 +1,6 @@
 package io.hornbeamscale.daemon;
 
+import io.hornbeamscale.console.ConsoleSettings;
 import java.net.InetSocketAddress;
 import java.net.URI;
 import java.nio.file.Path;
@@ -15,6 +16,8 @@
  * @param admin the address for metrics and health
  * @param frames the address for other entries
  * @param peers the frame addresses of other entries
+ * @param storeRegion the region of the platform's store
+ * @param console the sign-ins of the console, null if the console is off
  * @param store the platform's store, null if there is none
  * @param vmList the platform's VM list, null if there is none
  * @param document a document file to start from, null if there is none
@@ -30,6 +33,8 @@
         InetSocketAddress admin,
         InetSocketAddress frames,
         List<InetSocketAddress> peers,
+        String storeRegion,
+        ConsoleSettings console,
         URI store,
         URI vmList,
         Path document,
--- a/daemon/src/main/java/io/hornbeamscale/daemon/Main.java
+++ b/daemon/src/main/java/io/hornbeamscale/daemon/Main.java
@@ -3,6 +3,7 @@
 import com.beust.jcommander.JCommander;
 import com.beust.jcommander.ParameterException;
 import io.hornbeamscale.daemon.config.ConfigCommand;
+import io.hornbeamscale.measure.MeasureCommand;
 import java.util.Arrays;
 import java.util.LinkedHashMap;
 import java.util.Map;
@@ -31,6 +32,9 @@
         if (args.length > 0 && args[0].equals("config")) {
             return ConfigCommand.run(Arrays.copyOfRange(args, 1, args.length), System.out, System.err);
         }
+        if (args.length > 0 && args[0].equals("measure")) {
+            return MeasureCommand.run(Arrays.copyOfRange(args, 1, args.length), System.out);
+        }
         Map<String, Command> commands = new LinkedHashMap<>();
         commands.put("entry", new EntryCommand());
         commands.put("agent", new AgentCommand());
--- a/daemon/src/main/java/io/hornbeamscale/daemon/Settings.java
+++ b/daemon/src/main/java/io/hornbeamscale/daemon/Settings.java
@@ -1,12 +1,15 @@
 package io.hornbeamscale.daemon;
 
 import com.fasterxml.jackson.databind.JsonNode;
+import io.hornbeamscale.console.ConsoleSettings;
 import java.net.InetSocketAddress;
 import java.net.URI;
 import java.nio.file.Path;
 import java.util.ArrayList;
 import java.util.Iterator;
+import java.util.LinkedHashMap;
 import java.util.List;
+import java.util.Map;
 import java.util.Set;
 import java.util.TreeSet;
 
@@ -100,6 +103,25 @@
         return node.asLong();
     }
 
+    /** Returns the sign-ins of the console, null if there are none. */
+    ConsoleSettings console() {
+        known.add("operators");
+        known.add("sessionSecret");
+        if (!root.has("operators")) {
+            return null;
+        }
+        Map<String, String> operators = new LinkedHashMap<>();
+        root.get("operators")
+                .fields()
+                .forEachRemaining(e -> operators.put(e.getKey(), e.getValue().asText()));
+        try {
+            return new ConsoleSettings(operators, root.path("sessionSecret").asText());
+        } catch (IllegalArgumentException e) {
+            errors.add(file + ": keys 'operators' and 'sessionSecret': " + e.getMessage());
+            return null;
+        }
+    }
+
     /** Throws one exception with all errors, including keys that no one asked for. */
     void check() {
         for (Iterator<String> names = root.fieldNames(); names.hasNext(); ) {
--- a/daemon/src/main/java/io/hornbeamscale/daemon/SettingsFiles.java
+++ b/daemon/src/main/java/io/hornbeamscale/daemon/SettingsFiles.java
@@ -32,6 +32,8 @@
                 settings.address("admin"),
                 settings.address("frames"),
                 settings.addresses("peers"),
+                settings.text("storeRegion", NAME, NAME_ALLOWED, settings.text("region", NAME, NAME_ALLOWED, "none")),
+                settings.console(),
                 settings.uri("store", false),
                 settings.uri("vmList", false),
                 document(settings),
--- a/daemon/src/test/java/io/hornbeamscale/daemon/TestSite.java
+++ b/daemon/src/test/java/io/hornbeamscale/daemon/TestSite.java
@@ -53,6 +53,8 @@
                 loopback(0),
                 loopback(0),
                 List.of(),
+                "amman",
+                null,
                 null,
                 null,
                 document,
--- a/wire/src/main/java/io/hornbeamscale/wire/message/ConfigDelta.java
+++ b/wire/src/main/java/io/hornbeamscale/wire/message/ConfigDelta.java
@@ -1,20 +1,32 @@
 package io.hornbeamscale.wire.message;
 
 import com.fasterxml.jackson.annotation.JsonProperty;
+import java.util.List;
+import java.util.Map;
 
 /**
  * Carries the changes from one version of the document to another.
  *
  * @param fromVersion the version that the changes apply to
  * @param version the version after the changes
- * @param changes the changes as JSON; null means empty
+ * @param revision the revision of the store's key for the version after the changes
+ * @param changed name to text of entities that were added or changed; null means none
+ * @param removed names of entities that were removed; null means none
+ * @param checksum the checksum of the result
+ * @param isSettled whether enough holders of the sender's region have the version
  */
 public record ConfigDelta(
         @JsonProperty("fv") long fromVersion,
         @JsonProperty("cv") long version,
-        @JsonProperty("ch") String changes) implements Message {
+        @JsonProperty("rv") long revision,
+        @JsonProperty("ch") Map<String, String> changed,
+        @JsonProperty("rm") List<String> removed,
+        @JsonProperty("cs") long checksum,
+        @JsonProperty("se") boolean isSettled)
+        implements Message {
     /** Checks required fields and replaces missing optional ones. */
     public ConfigDelta {
-        changes = changes == null ? "" : changes;
+        changed = changed == null ? Map.of() : Map.copyOf(changed);
+        removed = removed == null ? List.of() : List.copyOf(removed);
     }
 }
--- a/wire/src/main/java/io/hornbeamscale/wire/message/ConfigWhole.java
+++ b/wire/src/main/java/io/hornbeamscale/wire/message/ConfigWhole.java
@@ -1,19 +1,24 @@
 package io.hornbeamscale.wire.message;
 
 import com.fasterxml.jackson.annotation.JsonProperty;
-import io.hornbeamscale.core.util.Arguments;
+import java.util.Map;
 
 /**
  * Carries a whole document.
  *
  * @param version the version
- * @param document the document as JSON, not blank
+ * @param revision the revision of the store's key for this version
+ * @param entities name to text of all entities; null means none
+ * @param isSettled whether enough holders of the sender's region have the version
  */
 public record ConfigWhole(
         @JsonProperty("cv") long version,
-        @JsonProperty("do") String document) implements Message {
+        @JsonProperty("rv") long revision,
+        @JsonProperty("en") Map<String, String> entities,
+        @JsonProperty("se") boolean isSettled)
+        implements Message {
     /** Checks required fields and replaces missing optional ones. */
     public ConfigWhole {
-        Arguments.notBlank(document, "document");
+        entities = entities == null ? Map.of() : Map.copyOf(entities);
     }
 }
--- a/wire/src/test/java/io/hornbeamscale/wire/MessageCodecTest.java
+++ b/wire/src/test/java/io/hornbeamscale/wire/MessageCodecTest.java
@@ -32,7 +32,7 @@
     @Test
     void everyFieldSurvives() {
         List<Message> messages = List.of(
-                new Hello("e1", "entry", 7, 1, 3, "127.0.0.1:9"),
+                new Hello("e1", "entry", 7, 1, 3, "127.0.0.1:9", "amman"),
                 new Reserve("r", 1, "s", "c", "k", 2, 3, 4, List.of(5L, -6L), 7, 8, true, false, true, "m"),
                 new Start("r", 1, 7, 9, "POST", "/p", Map.of("a", "b"), Payload.ofText("{}"), 50, 0),
                 new Tokens("r", 1, "b.1.2", 4, List.of("one", " zwei")),
@@ -49,7 +49,9 @@
             packer.packMapHeader(4).packString("cv").packLong(5);
             packer.packString("new").packArrayHeader(1).packString("x");
             packer.packString("t").packString("config-digest").packString("v").packInt(2);
-            assertEquals(Optional.of(new ConfigDigest(5)), MessageCodec.decode(packer.toByteArray()));
+            assertEquals(
+                    Optional.of(new ConfigDigest(5, 0, false, false, false)),
+                    MessageCodec.decode(packer.toByteArray()));
             packer.clear();
             packer.packMapHeader(1).packString("t").packString("from-a-later-release");
             assertEquals(Optional.empty(), MessageCodec.decode(packer.toByteArray()));
@@ -74,7 +76,7 @@
 
     @Test
     void messagesBeyondTheFrameLimitAreRefusedBeforeTheyAreSent() {
-        Message large = new ConfigWhole(1, "x".repeat(MessageCodec.MAX_FRAME_BYTES));
+        Message large = new ConfigWhole(1, 1, Map.of("a", "x".repeat(MessageCodec.MAX_FRAME_BYTES)), true);
         ServingException e = assertThrows(ServingException.class, () -> MessageCodec.encode(large));
         assertTrue(e.getMessage().contains("exceeds the frame limit of 1048576 bytes"), e.getMessage());
     }
