--- a/daemon/src/main/java/io/hornbeamscale/daemon/EntryDaemon.java
+++ b/daemon/src/main/java/io/hornbeamscale/daemon/EntryDaemon.java
@@ -176,6 +176,11 @@
         agents.watch(addresses);
     }
 
+    /** Puts a document in force from any thread. */
+    void put(Document document) {
+        control.execute(() -> apply(document));
+    }
+
     RequestReader reader() {
         return reader;
     }
--- a/daemon/src/main/java/io/hornbeamscale/daemon/Logs.java
+++ b/daemon/src/main/java/io/hornbeamscale/daemon/Logs.java
@@ -14,8 +14,17 @@
 
     private Logs() {}
 
+    /** Logs errors only. */
+    static void quiet() {
+        configure("text", Level.ERROR);
+    }
+
     /** Logs to the standard error stream, as {@code text} or as {@code json}. */
     static void configure(String form) {
+        configure(form, Level.INFO);
+    }
+
+    private static void configure(String form, Level level) {
         ConfigurationBuilder<BuiltConfiguration> builder = ConfigurationBuilderFactory.newConfigurationBuilder();
         AppenderComponentBuilder appender =
                 builder.newAppender("console", "Console").addAttribute("target", ConsoleAppender.Target.SYSTEM_ERR);
@@ -27,9 +36,9 @@
         }
         builder.add(appender);
         for (String quiet : new String[] {"io.undertow", "org.xnio", "org.jboss"}) {
-            builder.add(builder.newLogger(quiet, Level.WARN));
+            builder.add(builder.newLogger(quiet, Level.ERROR));
         }
-        builder.add(builder.newRootLogger(Level.INFO).add(builder.newAppenderRef("console")));
+        builder.add(builder.newRootLogger(level).add(builder.newAppenderRef("console")));
         Configurator.reconfigure(builder.build(false));
     }
 }
--- a/daemon/src/main/java/io/hornbeamscale/daemon/Main.java
+++ b/daemon/src/main/java/io/hornbeamscale/daemon/Main.java
@@ -39,6 +39,7 @@
         commands.put("entry", new EntryCommand());
         commands.put("agent", new AgentCommand());
         commands.put("status", new StatusCommand());
+        commands.put("demo", new DemoCommand());
         JCommander parser = JCommander.newBuilder().programName("hornbeamscale").build();
         commands.forEach(parser::addCommand);
         try {
--- a/daemon/src/main/java/io/hornbeamscale/daemon/Settings.java
+++ b/daemon/src/main/java/io/hornbeamscale/daemon/Settings.java
@@ -112,8 +112,8 @@
         }
         Map<String, String> operators = new LinkedHashMap<>();
         root.get("operators")
-                .fields()
-                .forEachRemaining(e -> operators.put(e.getKey(), e.getValue().asText()));
+                .properties()
+                .forEach(e -> operators.put(e.getKey(), e.getValue().asText()));
         try {
             return new ConsoleSettings(operators, root.path("sessionSecret").asText());
         } catch (IllegalArgumentException e) {
--- a/daemon/src/main/java/io/hornbeamscale/daemon/Snapshots.java
+++ b/daemon/src/main/java/io/hornbeamscale/daemon/Snapshots.java
@@ -1,13 +1,11 @@
 package io.hornbeamscale.daemon;
 
 import com.fasterxml.jackson.databind.JsonNode;
-import com.fasterxml.jackson.databind.node.ArrayNode;
 import com.fasterxml.jackson.databind.node.ObjectNode;
 import io.hornbeamscale.core.audit.PublishedHead;
 import io.hornbeamscale.core.distribute.ConfigSnapshot;
 import io.hornbeamscale.core.document.Document;
 import io.hornbeamscale.core.document.DocumentJson;
-import java.util.Iterator;
 import java.util.Map;
 import java.util.TreeMap;
 
@@ -20,8 +18,7 @@
         PublishedHead head = PublishedHead.decode(value);
         Map<String, String> entities = new TreeMap<>();
         ObjectNode tree = DocumentJson.tree(head.document());
-        for (Iterator<Map.Entry<String, JsonNode>> fields = tree.fields(); fields.hasNext(); ) {
-            Map.Entry<String, JsonNode> field = fields.next();
+        for (Map.Entry<String, JsonNode> field : tree.properties()) {
             if (field.getValue().isArray()) {
                 for (JsonNode entity : field.getValue()) {
                     entities.put(field.getKey() + "/" + entity.path("name").asText(), entity.toString());
@@ -42,7 +39,7 @@
             if (slash < 0) {
                 tree.set(name, node);
             } else {
-                ((ArrayNode) tree.withArray("/" + name.substring(0, slash))).add(node);
+                tree.withArray("/" + name.substring(0, slash)).add(node);
             }
         });
         return DocumentJson.read(tree);
--- /dev/null
+++ b/daemon/src/main/java/io/hornbeamscale/daemon/demo/package-info.java
@@ -0,0 +1,2 @@
+/** The report of the demonstration. */
+package io.hornbeamscale.daemon.demo;
