--- a/daemon/src/main/java/io/hornbeamscale/daemon/AdminServer.java
+++ b/daemon/src/main/java/io/hornbeamscale/daemon/AdminServer.java
@@ -6,6 +6,7 @@
 import io.undertow.server.HttpHandler;
 import io.undertow.server.HttpServerExchange;
 import io.undertow.util.Headers;
+import java.lang.management.ManagementFactory;
 import java.net.InetSocketAddress;
 import java.util.Map;
 import java.util.function.BooleanSupplier;
@@ -30,6 +31,10 @@
         this.console = console;
         this.registry = registry;
         this.isReady = isReady;
+        registry.gauge(
+                "heap_used_bytes",
+                () -> () ->
+                        ManagementFactory.getMemoryMXBean().getHeapMemoryUsage().getUsed());
         this.status = status;
         this.server = Undertow.builder()
                 .addHttpListener(address.getPort(), address.getAddress().getHostAddress(), this::handle)
--- a/daemon/src/main/java/io/hornbeamscale/daemon/EntryDaemon.java
+++ b/daemon/src/main/java/io/hornbeamscale/daemon/EntryDaemon.java
@@ -176,6 +176,11 @@
         agents.watch(addresses);
     }
 
+    /** Returns the version of the document in force, 0 for none. */
+    long configVersion() {
+        return config.version();
+    }
+
     /** Puts a document in force from any thread. */
     void put(Document document) {
         control.execute(() -> apply(document));
--- a/daemon/src/main/java/io/hornbeamscale/daemon/Logs.java
+++ b/daemon/src/main/java/io/hornbeamscale/daemon/Logs.java
@@ -17,6 +17,7 @@
     /** Logs errors only. */
     static void quiet() {
         configure("text", Level.ERROR);
+        Configurator.setLevel("org.xnio.listener", Level.OFF);
     }
 
     /** Logs to the standard error stream, as {@code text} or as {@code json}. */
--- /dev/null
+++ b/daemon/src/main/java/io/hornbeamscale/daemon/bench/BenchAgent.java
@@ -0,0 +1,62 @@
+package io.hornbeamscale.daemon.bench;
+
+import io.hornbeamscale.wire.FrameConnection;
+import io.hornbeamscale.wire.FrameListener;
+import io.hornbeamscale.wire.FrameLoop;
+import io.hornbeamscale.wire.MessageCodec;
+import io.hornbeamscale.wire.message.Grant;
+import io.hornbeamscale.wire.message.Hello;
+import io.hornbeamscale.wire.message.Message;
+import io.hornbeamscale.wire.message.Reserve;
+import io.hornbeamscale.wire.message.Start;
+import io.hornbeamscale.wire.message.Started;
+import io.hornbeamscale.wire.message.Status;
+import io.hornbeamscale.wire.message.Tokens;
+import java.net.InetSocketAddress;
+import java.util.Collections;
+import java.util.List;
+
+/** An agent without an engine: it grants every reservation and emits a few tokens of a generation that never ends. */
+final class BenchAgent implements FrameListener, AutoCloseable {
+    private static final String BACKEND = "m0";
+    private static final long INCARNATION = 1;
+    private static final int TOKENS = 20;
+    private static final long VALID_MILLIS = 10_000;
+
+    private final FrameLoop frames = new FrameLoop("bench-agent");
+    private long sequence;
+
+    BenchAgent(InetSocketAddress address) {
+        frames.listen(address, () -> this);
+    }
+
+    @Override
+    public void opened(FrameConnection connection) {
+        connection.send(new Hello(BACKEND, "agent", INCARNATION, MessageCodec.PROTOCOL_VERSION, 0, "", ""));
+    }
+
+    @Override
+    public void received(FrameConnection connection, Message message) {
+        if (message instanceof Hello) {
+            connection.send(
+                    new Status(BACKEND, INCARNATION, 500_000_000, 0, 0, 0, 0, 0, false, 0, List.of(), List.of()));
+        } else if (message instanceof Reserve m) {
+            sequence++;
+            connection.send(new Grant(m.request(), m.attempt(), INCARNATION, sequence, VALID_MILLIS));
+        } else if (message instanceof Start m) {
+            String generation = BACKEND + "." + INCARNATION + "." + m.sequence();
+            connection.send(new Started(m.request(), m.attempt(), generation));
+            connection.send(new Tokens(m.request(), m.attempt(), generation, 0, Collections.nCopies(TOKENS, " token")));
+        }
+    }
+
+    @Override
+    public void closed(FrameConnection connection, String reason) {
+        System.err.println("The entry is disconnected: " + reason);
+    }
+
+    @Override
+    public void close() {
+        frames.close();
+    }
+}
--- /dev/null
+++ b/daemon/src/main/java/io/hornbeamscale/daemon/bench/package-info.java
@@ -0,0 +1,2 @@
+/** Benchmarks of the whole path; they are programs, not tests. */
+package io.hornbeamscale.daemon.bench;
