End with status 0 after a graceful stop

Cause: after SIGTERM the process logged nothing of its drain and ended with status 143, as the logging shut down first and the JVM reports the signal.

Change: the logging stays up until the stop ends; an orderly stop ends with 0.

Measured: the graceful-stop rows of KillTest now check the status: 0 of 2 before, 2 of 2 after.

--- a/daemon/src/main/java/io/hornbeamscale/daemon/Logs.java
+++ b/daemon/src/main/java/io/hornbeamscale/daemon/Logs.java
@@ -36,6 +36,8 @@
             appender.add(builder.newLayout("PatternLayout").addAttribute("pattern", PATTERN));
         }
         builder.add(appender);
+        // Log lines are needed until the graceful stop ends.
+        builder.setShutdownHook("disable");
         for (String quiet : new String[] {"io.undertow", "org.xnio", "org.jboss"}) {
             builder.add(builder.newLogger(quiet, Level.ERROR));
         }
--- a/daemon/src/main/java/io/hornbeamscale/daemon/Stops.java
+++ b/daemon/src/main/java/io/hornbeamscale/daemon/Stops.java
@@ -21,6 +21,8 @@
                         () -> {
                             asked.countDown();
                             awaitQuietly(stopped);
+                            // The JVM would report the signal as its status although the stop was orderly.
+                            Runtime.getRuntime().halt(0);
                         },
                         component + "-stop"));
         awaitQuietly(asked);
--- a/daemon/src/test/java/io/hornbeamscale/daemon/KillTest.java
+++ b/daemon/src/test/java/io/hornbeamscale/daemon/KillTest.java
@@ -165,7 +165,7 @@
         site.processes.terminate(name);
         assertEquals(EngineTokens.whole("stop", TOKENS), streamed.await().text());
         assertTrue(whole.get().body().contains(EngineTokens.whole("stop whole", TOKENS)));
-        site.processes.await(name);
+        assertEquals(0, site.processes.await(name), site.processes.log(name));
     }
 
     private HttpRequest completion(int entry, String prompt, boolean isStreaming) {
