--- a/daemon/src/main/java/io/hornbeamscale/daemon/AdminServer.java
+++ b/daemon/src/main/java/io/hornbeamscale/daemon/AdminServer.java
@@ -1,11 +1,12 @@
 package io.hornbeamscale.daemon;
 
 import com.codahale.metrics.MetricRegistry;
-import com.fasterxml.jackson.core.JsonProcessingException;
 import com.fasterxml.jackson.databind.ObjectMapper;
 import io.undertow.Undertow;
+import io.undertow.server.HttpHandler;
 import io.undertow.server.HttpServerExchange;
 import io.undertow.util.Headers;
+import java.lang.management.ManagementFactory;
 import java.net.InetSocketAddress;
 import java.util.Map;
 import java.util.function.BooleanSupplier;
@@ -17,6 +18,7 @@
 
     private final Undertow server;
     private final MetricRegistry registry;
+    private final HttpHandler console;
     private final BooleanSupplier isReady;
     private final Supplier<Map<String, Object>> status;
 
@@ -24,9 +26,15 @@
             InetSocketAddress address,
             MetricRegistry registry,
             BooleanSupplier isReady,
-            Supplier<Map<String, Object>> status) {
+            Supplier<Map<String, Object>> status,
+            HttpHandler console) {
+        this.console = console;
         this.registry = registry;
         this.isReady = isReady;
+        registry.gauge(
+                "heap_used_bytes",
+                () -> () ->
+                        ManagementFactory.getMemoryMXBean().getHeapMemoryUsage().getUsed());
         this.status = status;
         this.server = Undertow.builder()
                 .addHttpListener(address.getPort(), address.getAddress().getHostAddress(), this::handle)
@@ -46,7 +54,11 @@
         server.stop();
     }
 
-    private void handle(HttpServerExchange exchange) throws JsonProcessingException {
+    private void handle(HttpServerExchange exchange) throws Exception {
+        if (console != null && exchange.getRequestPath().startsWith("/console")) {
+            console.handleRequest(exchange);
+            return;
+        }
         switch (exchange.getRequestPath()) {
             case "/metrics" -> send(exchange, 200, "text/plain; version=0.0.4", PrometheusText.of(registry));
             case "/health" -> send(exchange, 200, "text/plain", "ok\n");
