Check in the capacity probes that the measured state exists

Cause: the scheduler now refuses work whose expected wait exceeds its deadline, so the probe of waiting reservations measured an empty queue. Change: long deadlines, and an error if fewer requests wait than were added. Conclusion: a probe can no longer report the slope of nothing.

--- a/measure/src/main/java/io/hornbeamscale/measure/capacity/AgentProbes.java
+++ b/measure/src/main/java/io/hornbeamscale/measure/capacity/AgentProbes.java
@@ -41,6 +41,10 @@
         for (int i = 0; i < reservations; i++) {
             scheduler.reserve(reservation(i, 0), 0);
         }
+        int waiting = scheduler.status(0).waiting();
+        if (waiting < reservations - 1) {
+            throw new IllegalStateException("only " + waiting + " of " + reservations + " reservations wait");
+        }
         return scheduler;
     }
 
--- a/measure/src/main/java/io/hornbeamscale/measure/capacity/EntryProbes.java
+++ b/measure/src/main/java/io/hornbeamscale/measure/capacity/EntryProbes.java
@@ -44,6 +44,9 @@
         for (int i = 0; i < requests; i++) {
             dispatcher.submit(Fixtures.work(i, 0), 0);
         }
+        if (dispatcher.queued() != requests) {
+            throw new IllegalStateException("only " + dispatcher.queued() + " of " + requests + " requests wait");
+        }
         return dispatcher;
     }
 
--- a/measure/src/main/java/io/hornbeamscale/measure/capacity/Fixtures.java
+++ b/measure/src/main/java/io/hornbeamscale/measure/capacity/Fixtures.java
@@ -24,7 +24,7 @@
     static final ZoneId ZONE = new ZoneId("zone-1");
     static final String MODEL = "model-1";
     static final int CUSTOMERS = 500;
-    private static final int MAX_WAIT_MILLIS = 60_000;
+    private static final int MAX_WAIT_MILLIS = 100_000_000;
     private static final long CAPACITY_TOKENS = 400_000;
 
     private Fixtures() {}
