Measure recovery after a mass start and a store outage

Cause: recovery must not become a storm, and reads of an unchanged VM list no longer transfer it, which the membership figures did not yet show. Change: RecoveryMeasurement reports start and recovery times and store calls per second; MembershipWorld counts conditional reads.

--- a/measure/src/main/java/io/hornbeamscale/measure/distribute/DistributeProgram.java
+++ b/measure/src/main/java/io/hornbeamscale/measure/distribute/DistributeProgram.java
@@ -31,6 +31,7 @@
         int schedules = Integer.parseInt(options.getOrDefault("--schedules", "10000"));
         long firstSeed = Long.parseLong(options.getOrDefault("--first-seed", "1"));
         boolean isGood = propagation(sizes, seeds, firstSeed, out);
+        isGood &= recovery(sizes, seeds, firstSeed, out);
         isGood &= membership(sizes, seeds, firstSeed, out);
         isGood &= schedules(schedules, firstSeed, out);
         return isGood ? 0 : 1;
@@ -86,6 +87,35 @@
         return isGood;
     }
 
+    private static boolean recovery(List<Integer> sizes, int seeds, long firstSeed, PrintStream out) {
+        out.println("recovery: all nodes start at once; the store returns after 60 s with a new version; worst seed");
+        out.println("nodes  start_s  start_store_calls/s  recovery_s  recovery_store_calls/s");
+        boolean isGood = true;
+        for (int size : sizes) {
+            long start = 0;
+            long startPeak = 0;
+            long recovery = 0;
+            long recoveryPeak = 0;
+            for (int i = 0; i < seeds; i++) {
+                RecoveryMeasurement.Result result = RecoveryMeasurement.run(firstSeed + i, size);
+                start = Math.max(start, result.startMillis());
+                startPeak = Math.max(startPeak, result.startPeakPerSecond());
+                recovery = Math.max(recovery, result.recoveryMillis());
+                recoveryPeak = Math.max(recoveryPeak, result.recoveryPeakPerSecond());
+            }
+            isGood &= recovery <= 17_000;
+            out.printf(
+                    Locale.ROOT,
+                    "%5d  %7.1f  %19d  %10.1f  %22d%n",
+                    size,
+                    start / 1_000.0,
+                    startPeak,
+                    recovery / 1_000.0,
+                    recoveryPeak);
+        }
+        return isGood;
+    }
+
     private static boolean membership(List<Integer> sizes, int seeds, long firstSeed, PrintStream out) {
         out.println("membership: time until no node uses a leaving backend server, 1% loss");
         out.println("nodes  sign     mean_s  max_s  messages/node/sign  B/s/node  list_reads/s  members/node");
--- a/measure/src/main/java/io/hornbeamscale/measure/distribute/MembershipWorld.java
+++ b/measure/src/main/java/io/hornbeamscale/measure/distribute/MembershipWorld.java
@@ -20,6 +20,7 @@
     private static final int MESSAGE_BYTES = 40;
     private static final int SIGN_BYTES = 48;
     private static final int LINE_BYTES = 120;
+    private static final int UNCHANGED_BYTES = 150;
     private static final long WARM_UP_MILLIS = 10_000;
     private static final long LIMIT_MILLIS = 10_000;
     private static final NodeId AGENT = new NodeId("runner-1");
@@ -29,6 +30,8 @@
     private final List<MembershipView> views = new ArrayList<>();
     private final List<VmRecord> vms = new ArrayList<>();
     private final Map<NodeId, MembershipView> byId = new HashMap<>();
+    private final Map<MembershipView, Integer> knownLists = new HashMap<>();
+    private int listVersion = 1;
     private long messages;
     private long bytes;
     private long listReads;
@@ -72,6 +75,7 @@
     private long leave(boolean isListed) {
         if (isListed) {
             vms.set(vms.size() - 1, vm(AGENT.value(), "agent", "r0", true));
+            listVersion++;
         } else {
             MembershipView view = views.get(random.nextInt(views.size()));
             run(view, view.leaving(AGENT, 0, queue.now()));
@@ -100,13 +104,20 @@
                 send(byId.get(tell.peer().node()), tell.signs());
             } else if (action instanceof MembershipAction.ReadVmList) {
                 listReads++;
-                bytes += (long) LINE_BYTES * vms.size();
+                bytes += listBytes(view);
                 List<VmRecord> lines = List.copyOf(vms);
                 queue.after(5 + random.nextInt(40), () -> run(view, view.listed(lines, queue.now())));
             }
         }
     }
 
+    /** A read with the entity tag of the present list transfers no lines. */
+    private long listBytes(MembershipView view) {
+        Integer known = knownLists.put(view, listVersion);
+        boolean isUnchanged = known != null && known == listVersion;
+        return isUnchanged ? UNCHANGED_BYTES : UNCHANGED_BYTES + (long) LINE_BYTES * vms.size();
+    }
+
     private void send(MembershipView target, List<LeavingSign> signs) {
         messages++;
         bytes += MESSAGE_BYTES + (long) SIGN_BYTES * signs.size();
--- a/measure/src/test/java/io/hornbeamscale/measure/distribute/DistributeProgramTest.java
+++ b/measure/src/test/java/io/hornbeamscale/measure/distribute/DistributeProgramTest.java
@@ -31,6 +31,15 @@
         assertTrue(large.idleBytesPerNodeSecond() <= 4_000);
     }
 
+    /** The store answers about 2,000 reads and several hundred writes per second in all. */
+    @Test
+    void aRecoveryIsNoStorm() {
+        RecoveryMeasurement.Result result = RecoveryMeasurement.run(1, 160);
+        assertTrue(result.startPeakPerSecond() <= 2 * 160, "start peak " + result.startPeakPerSecond());
+        assertTrue(result.recoveryPeakPerSecond() <= 20, "recovery peak " + result.recoveryPeakPerSecond());
+        assertTrue(result.recoveryMillis() <= 17_000, "recovery " + result.recoveryMillis());
+    }
+
     @Test
     void aLeavingBackendServerIsUnusedWithinThreeSeconds() {
         for (long seed = 1; seed <= 3; seed++) {
