--- a/core/src/main/java/io/hornbeamscale/core/schedule/EngineMemory.java
+++ b/core/src/main/java/io/hornbeamscale/core/schedule/EngineMemory.java
@@ -25,6 +25,8 @@
     private final Headroom headroom = new Headroom();
     private long usedTokens;
     private double shortTokens;
+    private int longCount;
+    private double shortCountPeak;
     private double shortPeak;
     private long shortPeakMillis;
     private long computedMillis = Long.MIN_VALUE / 2;
@@ -60,6 +62,7 @@
         usedTokens += h.tokens();
         all.add(h.curve, h.promptTokens, 0, h.maxTokens, 1);
         if (h.isLong) {
+            longCount++;
             longOnly.add(h.curve, h.promptTokens, 0, h.maxTokens, 1);
         } else {
             shortTokens += h.tokens();
@@ -72,6 +75,7 @@
         if (h != null) {
             usedTokens -= h.tokens();
             shortTokens -= h.isLong ? 0 : h.tokens();
+            longCount -= h.isLong ? 1 : 0;
             computedMillis = Long.MIN_VALUE / 2;
         }
         return h;
@@ -87,6 +91,7 @@
         if (h.emitted > longTokens) {
             // Learned length was wrong: from here on the response belongs to long work.
             h.isLong = true;
+            longCount++;
             shortTokens -= h.tokens();
         }
     }
@@ -114,16 +119,19 @@
         headroom.tick(nowMillis);
         double decay = Math.pow(0.5, Math.max(0, nowMillis - shortPeakMillis) / SHORT_HALF_LIFE_MILLIS);
         shortPeak = Math.max(shortPeak * decay, shortTokens + waitingShortTokens);
+        shortCountPeak = Math.max(shortCountPeak * decay, (double) held.size() - longCount);
         shortPeakMillis = nowMillis;
     }
 
     /**
      * Returns whether a request fits.
      *
+     * @param limit the greatest number of requests that run at once
      * @param isHeldBack whether long work has waited so long that short work must stay within its own share
      */
-    boolean fits(QueuedWork q, boolean isHeldBack, long nowMillis) {
-        if (held.size() >= config.maxRunning()) {
+    boolean fits(QueuedWork q, int limit, boolean isHeldBack, long nowMillis) {
+        int places = q.isLong ? limit : Math.min(config.maxRunning(), limit + sharePlaces(limit));
+        if (held.size() >= places) {
             return false;
         }
         if (config.capacityTokens() == 0 || held.isEmpty()) {
@@ -150,6 +158,11 @@
         return Math.min(capacity * config.shortSharePercent() / 100, 2 * shortPeak);
     }
 
+    /** The places beyond the limit that only short work can take, by the same rule. */
+    private int sharePlaces(int limit) {
+        return (int) Math.min(limit * config.shortSharePercent() / 100.0, 2 * shortCountPeak);
+    }
+
     private double peakWith(PeakProfile profile, QueuedWork q) {
         int prompt = q.reservation.work().promptTokens();
         int max = q.reservation.work().maxTokens();
--- a/core/src/main/java/io/hornbeamscale/core/schedule/MemoryScheduler.java
+++ b/core/src/main/java/io/hornbeamscale/core/schedule/MemoryScheduler.java
@@ -123,7 +123,7 @@
 
     private List<ScheduleAction> grant(long nowMillis) {
         List<ScheduleAction> out = new ArrayList<>();
-        while (waiting.size() > 0 && memory.size() < batch.limit()) {
+        while (waiting.size() > 0 && memory.size() < config.maxRunning()) {
             QueuedWork next = next(nowMillis);
             if (next == null) {
                 break;
@@ -139,7 +139,7 @@
         heads.sort(Comparator.comparingDouble(MemoryScheduler::urgency).thenComparingLong(q -> q.order));
         boolean isHeldBack = false;
         for (QueuedWork q : heads) {
-            if (memory.fits(q, isHeldBack, nowMillis)) {
+            if (memory.fits(q, batch.limit(), isHeldBack, nowMillis)) {
                 return q;
             }
             isHeldBack |= q.isLong && nowMillis - q.reservation.work().arrivedMillis() > HOLD_MILLIS;
--- a/measure/src/main/java/io/hornbeamscale/measure/bench/RoutingBenchmark.java
+++ b/measure/src/main/java/io/hornbeamscale/measure/bench/RoutingBenchmark.java
@@ -117,7 +117,7 @@
 
     /** The time of the scan for stragglers that a tick makes ten times per second. */
     private static double scan(ReservationDispatcher d) {
-        int scans = 200;
+        int scans = 2_000;
         long start = System.nanoTime();
         for (int i = 0; i < scans; i++) {
             d.tick(1_000_000L + i * 100L);
