--- a/core/src/main/java/io/hornbeamscale/core/distribute/PeerPlan.java
+++ b/core/src/main/java/io/hornbeamscale/core/distribute/PeerPlan.java
@@ -79,15 +79,15 @@
         return ranks.get(0).equals(self.node());
     }
 
+    boolean isKnown(NodeId node) {
+        return known.containsKey(node);
+    }
+
     boolean isForeign(NodeId node) {
         Peer peer = known.get(node);
         return peer != null && !peer.region().equals(self.region());
     }
 
-    boolean hasLocalPeers() {
-        return !local.isEmpty();
-    }
-
     /** Returns the nodes of the region that receive a version first, without the own node. */
     List<NodeId> holders() {
         return ranks.stream().filter(n -> !n.equals(self.node())).toList();
