--- a/daemon/src/main/java/io/hornbeamscale/daemon/Demo.java
+++ b/daemon/src/main/java/io/hornbeamscale/daemon/Demo.java
@@ -27,6 +27,7 @@
 import java.util.ArrayList;
 import java.util.List;
 import java.util.concurrent.CompletableFuture;
+import java.util.concurrent.CountDownLatch;
 import java.util.concurrent.TimeUnit;
 import java.util.function.BooleanSupplier;
 
@@ -101,6 +102,17 @@
         }
     }
 
+    /** Starts one deployment and serves until the process is stopped. */
+    static void serve(String name, List<String> regions, String plainService, DemoReport report) {
+        try (Demo demo = new Demo(name, regions, plainService, report)) {
+            report.say("export ENTRY=" + demo.base + " KEY=" + KEY + " ADMIN=http://"
+                    + Addresses.format(demo.entry.adminAddress()));
+            new CountDownLatch(1).await();
+        } catch (InterruptedException e) {
+            Thread.currentThread().interrupt();
+        }
+    }
+
     @Override
     public void close() {
         entry.close();
--- a/daemon/src/main/java/io/hornbeamscale/daemon/DemoCommand.java
+++ b/daemon/src/main/java/io/hornbeamscale/daemon/DemoCommand.java
@@ -11,6 +11,9 @@
     @Parameter(names = "--deployment", description = "tours, sensors or both")
     private String deployment = "both";
 
+    @Parameter(names = "--serve", description = "Start the deployment tours and serve until the process is stopped")
+    private boolean isServing;
+
     @Override
     int run() {
         if (!List.of("tours", "sensors", "both").contains(deployment)) {
@@ -19,6 +22,10 @@
         }
         Logs.quiet();
         DemoReport report = new DemoReport(System.out);
+        if (isServing) {
+            Demo.serve("tours", List.of("amman", "wadi-musa"), "bookings", report);
+            return 0;
+        }
         if (!deployment.equals("sensors")) {
             Demo.run("tours", List.of("amman", "wadi-musa"), "bookings", report);
         }
