--- a/daemon/src/main/java/io/hornbeamscale/daemon/config/ConfigActions.java
+++ b/daemon/src/main/java/io/hornbeamscale/daemon/config/ConfigActions.java
@@ -1,5 +1,6 @@
 package io.hornbeamscale.daemon.config;
 
+import io.hornbeamscale.console.PasswordHash;
 import io.hornbeamscale.console.StoreClient;
 import io.hornbeamscale.core.audit.HistoryController;
 import io.hornbeamscale.core.audit.HistoryResult;
@@ -18,6 +19,7 @@
 import java.nio.file.Files;
 import java.nio.file.InvalidPathException;
 import java.nio.file.Path;
+import java.security.SecureRandom;
 import java.util.List;
 import java.util.Random;
 import java.util.UUID;
@@ -51,9 +53,29 @@
         if (options instanceof ConfigOptions.History history) {
             return history(history);
         }
+        if (options instanceof ConfigOptions.PasswordHashOptions) {
+            return passwordHash();
+        }
         return rollback((ConfigOptions.Rollback) options);
     }
 
+    private int passwordHash() {
+        String password = standardInput().strip();
+        if (password.isEmpty()) {
+            throw new IllegalArgumentException("the password must be given on standard input");
+        }
+        printer.line(PasswordHash.create(password, new SecureRandom()));
+        return ExitStatus.OK;
+    }
+
+    private static String standardInput() {
+        try {
+            return new String(System.in.readAllBytes(), StandardCharsets.UTF_8);
+        } catch (IOException e) {
+            throw new IllegalArgumentException("cannot read standard input: " + e, e);
+        }
+    }
+
     private StoreClient store() {
         if (store == null) {
             throw new IllegalArgumentException("--store must be given: IP address and port of the platform's store");
@@ -81,9 +103,7 @@
         }
         String file = files.get(0);
         try {
-            String text = file.equals("-")
-                    ? new String(System.in.readAllBytes(), StandardCharsets.UTF_8)
-                    : Files.readString(Path.of(file));
+            String text = file.equals("-") ? standardInput() : Files.readString(Path.of(file));
             return DocumentYaml.read(text);
         } catch (IOException | InvalidPathException e) {
             throw new IllegalArgumentException("cannot read " + file + ": " + e, e);
--- a/daemon/src/main/java/io/hornbeamscale/daemon/config/ConfigCommand.java
+++ b/daemon/src/main/java/io/hornbeamscale/daemon/config/ConfigCommand.java
@@ -29,8 +29,8 @@
     /**
      * Runs one command.
      *
-     * @param args the command ({@code get}, {@code validate}, {@code diff}, {@code publish}, {@code history} or
-     *     {@code rollback}) with its options, not null
+     * @param args the command ({@code get}, {@code validate}, {@code diff}, {@code publish}, {@code history},
+     *     {@code rollback} or {@code password-hash}) with its options, not null
      * @param out receives results, not null
      * @param err receives errors, not null
      * @return the exit status
@@ -65,6 +65,7 @@
         commands.put("publish", new ConfigOptions.Publish());
         commands.put("history", new ConfigOptions.History());
         commands.put("rollback", new ConfigOptions.Rollback());
+        commands.put("password-hash", new ConfigOptions.PasswordHashOptions());
         return commands;
     }
 
--- a/daemon/src/main/java/io/hornbeamscale/daemon/config/ConfigOptions.java
+++ b/daemon/src/main/java/io/hornbeamscale/daemon/config/ConfigOptions.java
@@ -84,4 +84,9 @@
         @Parameter(description = "VERSION", required = true)
         List<Long> versions = new ArrayList<>();
     }
+
+    /** Options of {@code password-hash}. */
+    @Parameters(
+            commandDescription = "Read a password from standard input and print its hash for the console's settings")
+    static final class PasswordHashOptions extends Common {}
 }
--- a/daemon/src/main/java/io/hornbeamscale/daemon/config/ConfigPrinter.java
+++ b/daemon/src/main/java/io/hornbeamscale/daemon/config/ConfigPrinter.java
@@ -37,6 +37,14 @@
         out.println(DocumentJson.write(node));
     }
 
+    void line(String text) {
+        if (isJson) {
+            json(status("ok").put("text", text));
+        } else {
+            out.println(text);
+        }
+    }
+
     void document(long version, Document document) {
         if (isJson) {
             ObjectNode node = status("ok").put("version", version);
--- a/daemon/src/test/java/io/hornbeamscale/daemon/config/ConfigCommandTest.java
+++ b/daemon/src/test/java/io/hornbeamscale/daemon/config/ConfigCommandTest.java
@@ -3,10 +3,13 @@
 import static org.junit.jupiter.api.Assertions.assertEquals;
 import static org.junit.jupiter.api.Assertions.assertTrue;
 
+import io.hornbeamscale.console.PasswordHash;
 import io.hornbeamscale.standin.Fault;
 import io.hornbeamscale.standin.StoreStandIn;
+import java.io.ByteArrayInputStream;
 import java.io.ByteArrayOutputStream;
 import java.io.IOException;
+import java.io.InputStream;
 import java.io.PrintStream;
 import java.nio.charset.StandardCharsets;
 import java.nio.file.Files;
@@ -106,6 +109,18 @@
             assertTrue(printed.contains("nadia from command line: rollback to 1 (back)"), printed);
         }
 
+        @Test
+        void hashesAPassword() {
+            InputStream before = System.in;
+            System.setIn(new ByteArrayInputStream("battery staple\n".getBytes(StandardCharsets.UTF_8)));
+            try {
+                assertEquals(0, run("password-hash"));
+            } finally {
+                System.setIn(before);
+            }
+            assertTrue(PasswordHash.matches("battery staple", printed.trim()));
+        }
+
         @Test
         void settlesALostResponse() {
             store.faults().arm(new Fault.LoseResponse(), 2);
