Wire membership and document distribution into the daemons

Cause: entries read one document file at their start and connected to the addresses in it. A published version, a VM that leaves or a VM that moves had no effect on running processes.

Change: the new package daemon.control feeds MembershipView and ConfigDistributor. The message Leaving carries leaving signs; the config messages carry revision and checksum. Agents follow their entries (VersionFollower) and drain when an entry tells them that their VM is leaving. MembershipView takes a new address from the list once the connection to a leaving member has ended; before, a replaced VM under the same name was never reached again.

--- /dev/null
+++ b/core/src/main/java/io/hornbeamscale/core/distribute/VersionFollower.java
@@ -0,0 +1,151 @@
+package io.hornbeamscale.core.distribute;
+
+import io.hornbeamscale.core.id.NodeId;
+import io.hornbeamscale.core.util.Arguments;
+import java.util.ArrayList;
+import java.util.HashSet;
+import java.util.List;
+import java.util.Map;
+import java.util.Set;
+import java.util.TreeMap;
+
+/**
+ * Learns document versions from nodes that distribute them, without calling the store. An agent follows the entries
+ * that are connected to it. After the start it waits until it has heard several of them or for a limited time, so that
+ * one entry that lags does not take it back behind the version it had before a restart. Not safe for use by several
+ * threads.
+ */
+public final class VersionFollower {
+    /** How long a starting node collects the versions of its sources, in milliseconds. */
+    public static final long START_WAIT_MILLIS = 1_500;
+
+    private static final int START_ANSWERS = 3;
+    private static final long WANT_MILLIS = 1_000;
+
+    private final VersionGate gate = new VersionGate();
+    private final Map<NodeId, Long> sources = new TreeMap<>((a, b) -> a.value().compareTo(b.value()));
+    private final Set<NodeId> asked = new HashSet<>();
+    private ConfigSnapshot held = ConfigSnapshot.EMPTY;
+    private long firstHeardMillis = -1;
+    private long wantUntilMillis = Long.MIN_VALUE;
+
+    /** Creates a follower that knows no document. */
+    public VersionFollower() {}
+
+    /**
+     * Returns the version in force.
+     *
+     * @return the version, 0 for none
+     */
+    public long versionInForce() {
+        return gate.inForce();
+    }
+
+    /**
+     * Returns the highest version that a source has named.
+     *
+     * @return the version, 0 for none
+     */
+    public long newestKnown() {
+        long newest = held.version();
+        for (long version : sources.values()) {
+            newest = Math.max(newest, version);
+        }
+        return newest;
+    }
+
+    /**
+     * Handles a message of a source.
+     *
+     * @param from the source, not null
+     * @param message the message, not null; a request for a document is ignored
+     * @param nowMillis the present time
+     * @return the actions to carry out
+     */
+    public List<DistributeAction> received(NodeId from, ConfigMessage message, long nowMillis) {
+        Arguments.notNull(from, "from");
+        List<DistributeAction> actions = new ArrayList<>();
+        if (Arguments.notNull(message, "message") instanceof ConfigMessage.Digest digest) {
+            heard(from, digest.version(), nowMillis);
+        } else if (message instanceof ConfigMessage.Whole whole) {
+            hold(from, whole.snapshot(), nowMillis);
+        } else if (message instanceof ConfigMessage.Delta delta) {
+            delta.delta().applyTo(held).ifPresent(snapshot -> hold(from, snapshot, nowMillis));
+        }
+        decide(nowMillis, actions);
+        return actions;
+    }
+
+    /**
+     * Forgets a source that is no longer connected. Its version still counts as the lowest that may be applied first.
+     *
+     * @param source the source, not null
+     */
+    public void lost(NodeId source) {
+        sources.remove(Arguments.notNull(source, "source"));
+        asked.remove(source);
+    }
+
+    /**
+     * Checks what is due. Called every few tens to hundreds of milliseconds.
+     *
+     * @param nowMillis the present time
+     * @return the actions to carry out
+     */
+    public List<DistributeAction> tick(long nowMillis) {
+        List<DistributeAction> actions = new ArrayList<>();
+        decide(nowMillis, actions);
+        return actions;
+    }
+
+    private void heard(NodeId from, long version, long nowMillis) {
+        sources.put(from, version);
+        gate.raiseFloor(version);
+        if (firstHeardMillis < 0) {
+            firstHeardMillis = nowMillis;
+        }
+    }
+
+    private void hold(NodeId from, ConfigSnapshot snapshot, long nowMillis) {
+        heard(from, snapshot.version(), nowMillis);
+        if (snapshot.version() > held.version()) {
+            held = snapshot;
+            wantUntilMillis = nowMillis;
+        }
+    }
+
+    private void decide(long nowMillis, List<DistributeAction> actions) {
+        boolean hasWaited = firstHeardMillis >= 0 && nowMillis - firstHeardMillis >= START_WAIT_MILLIS;
+        if (sources.size() >= START_ANSWERS || hasWaited) {
+            gate.open();
+        }
+        if (held.version() > gate.inForce() && gate.tryApply(held.version())) {
+            actions.add(new DistributeAction.Apply(held));
+        }
+        if (nowMillis >= wantUntilMillis) {
+            want(nowMillis, actions);
+        }
+    }
+
+    /** Asks the sources of newer versions in turn, since one of them may not answer. */
+    private void want(long nowMillis, List<DistributeAction> actions) {
+        List<NodeId> better = sources.entrySet().stream()
+                .filter(source -> source.getValue() > held.version())
+                .map(Map.Entry::getKey)
+                .toList();
+        if (better.isEmpty()) {
+            asked.clear();
+            return;
+        }
+        if (asked.containsAll(better)) {
+            asked.clear();
+        }
+        NodeId next = better.stream()
+                .filter(source -> !asked.contains(source))
+                .findFirst()
+                .orElseThrow();
+        asked.add(next);
+        wantUntilMillis = nowMillis + WANT_MILLIS;
+        actions.add(new DistributeAction.Send(next, new ConfigMessage.Want(held.version())));
+    }
+}
--- a/core/src/main/java/io/hornbeamscale/core/membership/MembershipView.java
+++ b/core/src/main/java/io/hornbeamscale/core/membership/MembershipView.java
@@ -101,6 +101,7 @@
             return actions;
         }
         entry.heardMillis = nowMillis;
+        entry.isLost = false;
         moveTo(entry, node);
         boolean isNew = incarnation > entry.member.incarnation();
         boolean wasUnknown = entry.member.incarnation() == 0;
@@ -147,6 +148,9 @@
     public List<MembershipAction> connectionLost(NodeId node, long nowMillis) {
         List<MembershipAction> actions = new ArrayList<>();
         Entry entry = entries.get(Arguments.notNull(node, "node"));
+        if (entry != null) {
+            entry.isLost = true;
+        }
         if (entry != null && entry.member.state() == MemberState.LIVE) {
             change(entry, entry.member.incarnation(), MemberState.SUSPECT, actions);
         }
@@ -251,7 +255,7 @@
         Entry entry = meet(vm, nowMillis, actions);
         entry.listedMillis = nowMillis;
         String known = isSelf ? self.address() : entry.member.address();
-        boolean isDirect = isSelf || (entry.member.incarnation() > 0 && entry.member.state() != MemberState.SUSPECT);
+        boolean isDirect = isSelf || (entry.member.incarnation() > 0 && !entry.isLost);
         if (isDirect && !known.equals(vm.address())) {
             // The line is about the VM that this node ran on before; the node itself has told its present address.
             return;
@@ -399,6 +403,8 @@
         private Member member;
         private long heardMillis;
         private long listedMillis;
+        /** Whether the connection ended, so that the list may name the node's next VM, also after it was leaving. */
+        private boolean isLost;
 
         private Entry(Member member, long nowMillis) {
             this.member = member;
--- a/daemon/src/main/java/io/hornbeamscale/daemon/AgentDaemon.java
+++ b/daemon/src/main/java/io/hornbeamscale/daemon/AgentDaemon.java
@@ -6,7 +6,9 @@
 import io.hornbeamscale.core.agent.AgentController;
 import io.hornbeamscale.core.attempt.AttemptLedger;
 import io.hornbeamscale.core.attempt.LedgerLimits;
+import io.hornbeamscale.core.document.CustomerSpec;
 import io.hornbeamscale.core.document.LimitsSpec;
+import io.hornbeamscale.core.document.VersionedDocument;
 import io.hornbeamscale.core.drain.DrainAction;
 import io.hornbeamscale.core.drain.DrainSign;
 import io.hornbeamscale.core.drain.RunningWork;
@@ -28,8 +30,9 @@
 import io.hornbeamscale.core.work.EngineLoad;
 import io.hornbeamscale.core.work.Payload;
 import io.hornbeamscale.core.work.Reservation;
+import io.hornbeamscale.daemon.control.AgentPlane;
+import io.hornbeamscale.daemon.control.PlaneStatus;
 import io.hornbeamscale.wire.FrameConnection;
-import io.hornbeamscale.wire.FrameListener;
 import io.hornbeamscale.wire.FrameLoop;
 import io.hornbeamscale.wire.MessageCodec;
 import io.hornbeamscale.wire.message.Ack;
@@ -46,12 +49,13 @@
 import java.util.LinkedHashMap;
 import java.util.List;
 import java.util.Map;
+import java.util.stream.Collectors;
 import org.apache.logging.log4j.LogManager;
 import org.apache.logging.log4j.Logger;
 import org.xnio.XnioWorker;
 
 /** The agent process: it accepts frames of entries and runs their calls on the backend server beside it. */
-final class AgentDaemon implements AutoCloseable {
+final class AgentDaemon implements AutoCloseable, EntryLink.Owner {
     private static final Logger LOG = LogManager.getLogger("agent");
     private static final long STATUS_MILLIS = 250;
     private static final long LOAD_MILLIS = 500;
@@ -61,6 +65,7 @@
     private final AgentSettings settings;
     private final long incarnation = Incarnations.next();
     private final BackendId backend;
+    private final MemoryScheduler scheduler;
     private final AgentController controller;
     private final ControlLoop control;
     private final FrameLoop frames;
@@ -73,9 +78,12 @@
     private long nextStatusMillis;
     private long nextLoadMillis;
     private final DrainWatch drain = new DrainWatch(LOG, this::stopNewWork, this::runningWork, this::giveUp);
-    private final long drainMillis = LimitsSpec.defaults().drainMillis();
+    private final AgentPlane plane;
+    private long drainMillis = LimitsSpec.defaults().drainMillis();
     private final MetricRegistry registry = new MetricRegistry();
     private volatile BackendStatus lastStatus;
+    private volatile long configVersion;
+    private volatile long newestVersion;
     private AdminServer admin;
 
     AgentDaemon(AgentSettings settings) {
@@ -85,13 +93,21 @@
                 .capacityTokens(settings.isPlain() ? 0 : settings.memoryTokens())
                 .maxRunning(settings.maxRunning())
                 .build();
+        this.scheduler = new MemoryScheduler(config);
         this.controller = new AgentController(
                 backend,
-                new MemoryScheduler(config),
+                scheduler,
                 new AttemptLedger(incarnation, LedgerLimits.standard()),
                 new RetentionBuffer(RetentionLimits.standard(), !settings.isPlain()));
         this.control = new ControlLoop("agent", this::tick);
         this.frames = new FrameLoop("agent-frames");
+        this.plane = new AgentPlane(
+                new NodeId(settings.backend()),
+                incarnation,
+                ControlLoop::now,
+                this::sendTo,
+                this::apply,
+                () -> drain.begin(DrainSign.LISTED_AS_LEAVING, drainMillis));
         this.worker = Workers.create("agent-io");
         this.engine = new EngineClient(settings.server(), worker, new Events());
     }
@@ -105,12 +121,10 @@
         registry.gauge("running", () -> () -> lastStatus == null ? 0 : lastStatus.running());
         registry.gauge("waiting", () -> () -> lastStatus == null ? 0 : lastStatus.waiting());
         registry.gauge("used_tokens", () -> () -> lastStatus == null ? 0 : lastStatus.usedTokens());
-        registry.gauge("bad_frames", () -> frames::badFrames);
-        registry.gauge("unknown_messages", () -> frames::unknownTypes);
-        registry.gauge("control_queue", () -> control::waiting);
+        CostFields.register(registry, frames, control);
         admin = new AdminServer(settings.admin(), registry, () -> !drain.isDraining(), this::statusFields);
         adminAddress = admin.start();
-        address = frames.listen(settings.listen(), EntryLink::new);
+        address = frames.listen(settings.listen(), () -> new EntryLink(control, this));
         LOG.info("Agent of {} listens on {}, incarnation {}.", backend, Addresses.format(address), incarnation);
         return address;
     }
@@ -140,6 +154,25 @@
         worker.shutdownNow();
     }
 
+    /** Returns the version of the document in force, as of the last tick. */
+    long configVersion() {
+        return configVersion;
+    }
+
+    /** Puts a version of the document in force. */
+    private void apply(VersionedDocument next) {
+        drainMillis = next.document().limits().drainMillis();
+        scheduler.weights(next.document().customers().stream()
+                .collect(Collectors.toMap(c -> new CustomerId(c.name()), CustomerSpec::weight)));
+    }
+
+    private void sendTo(NodeId entry, Message message) {
+        FrameConnection link = entries.get(entry);
+        if (link != null) {
+            link.send(message);
+        }
+    }
+
     private List<RunningWork> runningWork() {
         return controller.running();
     }
@@ -173,6 +206,8 @@
         fields.put("backend", backend.value());
         fields.put("incarnation", incarnation);
         fields.put("draining", drain.isDraining());
+        fields.putAll(PlaneStatus.ofAgent(configVersion, newestVersion).fields());
+        fields.putAll(CostFields.of(frames, control));
         return fields;
     }
 
@@ -180,10 +215,13 @@
         long now = ControlLoop.now();
         carryOut(controller.tick(now));
         drain.tick(controller.unacknowledged());
+        plane.tick(now);
+        configVersion = plane.version();
+        newestVersion = plane.newestKnown();
         lastStatus = controller.status(now);
         if (now >= nextStatusMillis) {
             nextStatusMillis = now + STATUS_MILLIS;
-            Message status = Messages.of(lastStatus, 0);
+            Message status = Messages.of(lastStatus, configVersion);
             entries.values().forEach(link -> link.send(status));
         }
         if (!settings.isPlain() && now >= nextLoadMillis) {
@@ -267,14 +305,15 @@
 
     private void send(AgentAction action) {
         Message message = Messages.of(action);
-        FrameConnection link = message == null ? null : entries.get(EntryOf.action(action));
-        if (link != null) {
-            link.send(message);
+        if (message != null) {
+            sendTo(EntryOf.action(action), message);
         }
     }
 
-    private void received(NodeId entry, Message message) {
+    @Override
+    public void received(NodeId entry, Message message) {
         long now = ControlLoop.now();
+        plane.received(entry, message);
         if (message instanceof Reserve m) {
             carryOut(controller.reserve(new Reservation(m.attemptId(), entry, Messages.work(m, now)), now));
         } else if (message instanceof CancelReservation m) {
@@ -297,7 +336,8 @@
         }
     }
 
-    private void introduced(NodeId entry, FrameConnection connection) {
+    @Override
+    public void introduced(NodeId entry, FrameConnection connection) {
         long now = ControlLoop.now();
         FrameConnection previous = entries.put(entry, connection);
         if (previous != null) {
@@ -305,64 +345,25 @@
             carryOut(controller.entryLost(entry, now));
         }
         connection.send(new Hello(
-                backend.value(), "agent", incarnation, MessageCodec.PROTOCOL_VERSION, 0, Addresses.format(address)));
-        connection.send(Messages.of(controller.status(now), 0));
+                backend.value(),
+                "agent",
+                incarnation,
+                MessageCodec.PROTOCOL_VERSION,
+                configVersion,
+                Addresses.format(address)));
+        connection.send(Messages.of(controller.status(now), configVersion));
         LOG.info("Entry {} is connected.", entry);
     }
 
-    private void lost(NodeId entry, FrameConnection connection, String reason) {
+    @Override
+    public void lost(NodeId entry, FrameConnection connection, String reason) {
         if (entries.remove(entry, connection)) {
+            plane.lost(entry);
             LOG.info("Entry {} is disconnected: {}.", entry, reason);
             carryOut(controller.entryLost(entry, ControlLoop.now()));
         }
     }
 
-    /** What the daemon knows about a call on the backend server. */
-    private static final class CallState {
-        final boolean isRepeatable;
-        String tag = "";
-        String engineId;
-        int reattaches;
-        long emitted;
-
-        CallState(boolean isRepeatable, String engineId) {
-            this.isRepeatable = isRepeatable;
-            this.engineId = engineId;
-        }
-    }
-
-    /** The connection of one entry. */
-    private final class EntryLink implements FrameListener {
-        private NodeId entry;
-
-        @Override
-        public void opened(FrameConnection connection) {
-            LOG.debug("A connection from {} is open.", connection.peer());
-        }
-
-        @Override
-        public void received(FrameConnection connection, Message message) {
-            if (message instanceof Hello hello) {
-                entry = new NodeId(hello.node());
-                NodeId known = entry;
-                control.execute(() -> introduced(known, connection));
-            } else if (entry != null) {
-                NodeId known = entry;
-                control.execute(() -> AgentDaemon.this.received(known, message));
-            }
-        }
-
-        @Override
-        public void closed(FrameConnection connection, String reason) {
-            NodeId known = entry;
-            if (known == null) {
-                LOG.warn("A connection without an introduction ended: {}.", reason);
-            } else {
-                control.execute(() -> lost(known, connection, reason));
-            }
-        }
-    }
-
     /** Passes the events of the backend server to the control thread. */
     private final class Events implements EngineCalls {
         @Override
--- a/daemon/src/main/java/io/hornbeamscale/daemon/ControlLoop.java
+++ b/daemon/src/main/java/io/hornbeamscale/daemon/ControlLoop.java
@@ -1,6 +1,8 @@
 package io.hornbeamscale.daemon;
 
 import io.hornbeamscale.core.util.Arguments;
+import java.lang.management.ManagementFactory;
+import java.lang.management.ThreadMXBean;
 import java.util.concurrent.BlockingQueue;
 import java.util.concurrent.LinkedBlockingQueue;
 import java.util.concurrent.TimeUnit;
@@ -12,11 +14,14 @@
     /** The pause between two ticks, in milliseconds. */
     static final long TICK_MILLIS = 10;
 
+    private static final ThreadMXBean THREADS = ManagementFactory.getThreadMXBean();
+
     private final Logger log;
     private final BlockingQueue<Runnable> events = new LinkedBlockingQueue<>();
     private final Runnable tick;
     private final Thread thread;
     private volatile boolean isClosed;
+    private volatile long cpuNanos;
 
     /**
      * Creates a loop that is not started.
@@ -50,6 +55,11 @@
         return events.size();
     }
 
+    /** Returns the processor time of the control thread, as of the last tick, in nanoseconds. */
+    long cpuNanos() {
+        return cpuNanos;
+    }
+
     @Override
     public void close() {
         isClosed = true;
@@ -67,6 +77,7 @@
                 if (now() >= nextTick) {
                     nextTick = now() + TICK_MILLIS;
                     tick.run();
+                    cpuNanos = THREADS.getCurrentThreadCpuTime();
                 }
             } catch (InterruptedException e) {
                 return;
--- a/daemon/src/main/java/io/hornbeamscale/daemon/EntryDaemon.java
+++ b/daemon/src/main/java/io/hornbeamscale/daemon/EntryDaemon.java
@@ -9,6 +9,7 @@
 import io.hornbeamscale.core.document.BackendSpec;
 import io.hornbeamscale.core.document.Document;
 import io.hornbeamscale.core.document.LimitsSpec;
+import io.hornbeamscale.core.document.VersionedDocument;
 import io.hornbeamscale.core.drain.DrainAction;
 import io.hornbeamscale.core.drain.DrainSign;
 import io.hornbeamscale.core.entry.EntryAction;
@@ -30,6 +31,9 @@
 import io.hornbeamscale.core.store.StoreCall;
 import io.hornbeamscale.core.store.StoreReply;
 import io.hornbeamscale.core.stream.EventId;
+import io.hornbeamscale.core.work.BackendStatus;
+import io.hornbeamscale.daemon.control.EntryPlane;
+import io.hornbeamscale.daemon.control.PlaneStatus;
 import io.hornbeamscale.platform.CallPolicy;
 import io.hornbeamscale.platform.HttpKeyValueStore;
 import io.hornbeamscale.platform.KeyValueStore;
@@ -80,6 +84,11 @@
     private volatile int openRequests;
     private volatile int knownAgents;
     private final DrainWatch drain;
+    private final long incarnation = Incarnations.next();
+    private final Map<BackendId, BackendStatus> statuses = new HashMap<>();
+    private volatile EntryPlane plane;
+    private Document document = Document.empty();
+    private InetSocketAddress framesAddress;
     private Undertow server;
     private AdminServer admin;
     private InetSocketAddress adminAddress;
@@ -89,7 +98,6 @@
         DispatcherConfig config = DispatcherConfig.builder(new ZoneId(settings.zone()), new RegionId(settings.region()))
                 .build();
         this.dispatcher = new ReservationDispatcher(config, new SplittableRandom(Incarnations.next()));
-        long incarnation = Incarnations.next();
         ClaimSettings claims = ClaimSettings.standard(CLAIM_RETENTION_MILLIS, EPOCH_OFFSET_MILLIS);
         this.controller = new EntryController(
                 dispatcher,
@@ -105,16 +113,19 @@
                 () -> controller.responses().running(),
                 this::giveUp);
         this.frames = new FrameLoop("entry-frames");
-        this.agents = new AgentLinks(settings.node(), Incarnations.next(), frames, control, this);
+        this.agents = new AgentLinks(settings.node(), incarnation, frames, control, this);
     }
 
     /** Starts the entry and returns the address for callers. */
     InetSocketAddress start() {
-        control.start();
+        framesAddress = frames.listen(settings.frames(), () -> plane.accept());
+        plane = EntryPlanes.create(
+                settings, framesAddress, incarnation, frames, platform, store, control, new PlaneHost());
         if (settings.document() != null) {
-            Document document = SettingsFiles.document(settings.document());
-            control.execute(() -> apply(document));
+            Document first = SettingsFiles.document(settings.document());
+            control.execute(() -> apply(first));
         }
+        control.start();
         metrics.gauge("open_requests", () -> openRequests);
         metrics.gauge("known_agents", () -> knownAgents);
         metrics.gauge("dropped_frames", controller::droppedFrames);
@@ -144,10 +155,10 @@
     }
 
     /** Puts a document in force. Runs on the control thread. */
-    void apply(Document document) {
+    void apply(Document next) {
+        document = next;
         reader = new RequestReader(document);
         List<BackendPlace> places = new ArrayList<>();
-        Map<BackendId, InetSocketAddress> addresses = new HashMap<>();
         for (BackendSpec spec : document.backends()) {
             BackendId backend = new BackendId(spec.name());
             places.add(new BackendPlace(
@@ -156,11 +167,10 @@
                     spec.model(),
                     new ZoneId(spec.zone()),
                     new RegionId(spec.region())));
-            addresses.put(backend, Addresses.parse(spec.address()));
         }
         long now = ControlLoop.now();
         carryOut(controller.watch(places, now));
-        agents.watch(addresses);
+        agents.watch(plane.agentsOf(document));
     }
 
     RequestReader reader() {
@@ -201,7 +211,10 @@
 
     /** Begins a graceful stop; the process may end once {@link #isDrained} returns true. */
     void drain(DrainSign sign) {
-        control.execute(() -> drain.begin(sign, reader.limits().drainMillis()));
+        control.execute(() -> {
+            drain.begin(sign, reader.limits().drainMillis());
+            plane.leaving();
+        });
     }
 
     /** Returns whether a graceful stop is over and every response has left. */
@@ -214,6 +227,16 @@
         return adminAddress;
     }
 
+    /** Returns the address for other entries. */
+    InetSocketAddress framesAddress() {
+        return framesAddress;
+    }
+
+    /** Returns the state of the control plane, as of its last tick. */
+    PlaneStatus planeStatus() {
+        return plane.status();
+    }
+
     /** Returns the number of requests that wait or run, as of the last tick. */
     int openRequests() {
         return openRequests;
@@ -238,6 +261,7 @@
     @Override
     public void received(BackendId backend, Message message) {
         long now = ControlLoop.now();
+        plane.received(backend, message);
         if (message instanceof Tokens m) {
             carryOut(controller
                     .responses()
@@ -246,7 +270,11 @@
             GrantId grant = new GrantId(m.incarnation(), m.sequence());
             carryOut(controller.granted(backend, m.attemptId(), grant, m.validMillis(), now));
         } else if (message instanceof Refuse m) {
-            carryOut(controller.refused(backend, m.attemptId(), ErrorKind.ofCode(m.code()), m.retryAfterMillis(), now));
+            ErrorKind kind = ErrorKind.ofCode(m.code());
+            if (kind == ErrorKind.DRAINING) {
+                plane.refusedForDraining(backend);
+            }
+            carryOut(controller.refused(backend, m.attemptId(), kind, m.retryAfterMillis(), now));
         } else if (message instanceof End m) {
             if (m.status() != 0) {
                 carryOut(controller.responses().answered(m.attemptId(), m.status(), m.headers(), m.body(), now));
@@ -267,12 +295,16 @@
             ClaimOwner holder = new ClaimOwner(m.attemptId(), backend, new GrantId(m.incarnation(), m.sequence()));
             carryOut(controller.claims().revoked(holder, Messages.state(m), Messages.result(m), now));
         } else if (message instanceof Status m) {
-            carryOut(controller.status(Messages.status(m), now));
+            BackendStatus status = Messages.status(m);
+            statuses.put(backend, status);
+            carryOut(controller.status(plane.isLeaving(backend) ? EntryPlanes.leaving(status) : status, now));
         }
     }
 
     @Override
     public void lost(BackendId backend) {
+        statuses.remove(backend);
+        plane.agentLost(backend);
         carryOut(controller.lost(backend, ControlLoop.now()));
     }
 
@@ -307,6 +339,8 @@
         fields.put("open_requests", openRequests);
         fields.put("known_agents", knownAgents);
         fields.put("draining", drain.isDraining());
+        fields.putAll(CostFields.of(frames, control));
+        fields.putAll(plane.status().fields());
         return fields;
     }
 
@@ -323,6 +357,7 @@
 
     private void tick() {
         drain.tick(0);
+        plane.tick(ControlLoop.now());
         carryOut(controller.tick(ControlLoop.now()));
         agents.tick(ControlLoop.now());
         openRequests = callers.size();
@@ -410,4 +445,40 @@
             }
         }
     }
+
+    /** Carries out the decisions of the control plane. */
+    private final class PlaneHost implements EntryPlane.Host {
+        @Override
+        public void apply(VersionedDocument next) {
+            EntryDaemon.this.apply(next.document());
+        }
+
+        @Override
+        public void agentsMoved() {
+            agents.watch(plane.agentsOf(document));
+        }
+
+        @Override
+        public void stopWork(BackendId backend) {
+            BackendStatus last = statuses.get(backend);
+            if (last != null && plane.isLeaving(backend)) {
+                carryOut(controller.status(EntryPlanes.leaving(last), ControlLoop.now()));
+            }
+        }
+
+        @Override
+        public void sendToAgent(BackendId backend, Message message) {
+            agents.send(backend, message);
+        }
+
+        @Override
+        public void receivedFromPeer(NodeId from, Message message) {
+            LOG.debug("{} from entry {} is not handled here.", message, from);
+        }
+
+        @Override
+        public void drainSelf() {
+            drain.begin(DrainSign.LISTED_AS_LEAVING, reader.limits().drainMillis());
+        }
+    }
 }
--- /dev/null
+++ b/daemon/src/main/java/io/hornbeamscale/daemon/EntryPlanes.java
@@ -0,0 +1,72 @@
+package io.hornbeamscale.daemon;
+
+import io.hornbeamscale.core.blackboard.Blackboard;
+import io.hornbeamscale.core.id.NodeId;
+import io.hornbeamscale.core.id.RegionId;
+import io.hornbeamscale.core.id.ZoneId;
+import io.hornbeamscale.core.membership.VmRecord;
+import io.hornbeamscale.core.work.BackendStatus;
+import io.hornbeamscale.daemon.control.EntryPlane;
+import io.hornbeamscale.daemon.control.PlaneContext;
+import io.hornbeamscale.platform.CallPolicy;
+import io.hornbeamscale.platform.HttpVmList;
+import io.hornbeamscale.platform.KeyValueStore;
+import io.hornbeamscale.platform.PlatformIo;
+import io.hornbeamscale.platform.VmList;
+import io.hornbeamscale.wire.FrameLoop;
+import java.net.InetSocketAddress;
+import java.util.SplittableRandom;
+
+/** Creates the control plane of an entry from its settings. */
+final class EntryPlanes {
+    private EntryPlanes() {}
+
+    static EntryPlane create(
+            EntrySettings settings,
+            InetSocketAddress framesAddress,
+            long incarnation,
+            FrameLoop frames,
+            PlatformIo platform,
+            KeyValueStore store,
+            ControlLoop control,
+            EntryPlane.Host host) {
+        VmRecord self = new VmRecord(
+                new NodeId(settings.node()),
+                "entry",
+                Addresses.format(framesAddress),
+                new RegionId(settings.region()),
+                new ZoneId(settings.zone()),
+                false);
+        VmList vmList = settings.vmList() == null
+                ? null
+                : new HttpVmList(platform, Addresses.of(settings.vmList()), CallPolicy.DEFAULT);
+        PlaneContext context = new PlaneContext(
+                self,
+                incarnation,
+                new RegionId(settings.storeRegion()),
+                settings.peers(),
+                frames,
+                store,
+                vmList,
+                new Blackboard(),
+                control::execute,
+                ControlLoop::now,
+                new SplittableRandom(incarnation));
+        return new EntryPlane(context, Addresses::parse, host);
+    }
+
+    /** Returns the status of a backend server that accepts no new work. */
+    static BackendStatus leaving(BackendStatus s) {
+        return new BackendStatus(
+                s.backend(),
+                s.incarnation(),
+                s.capacityTokens(),
+                s.usedTokens(),
+                s.running(),
+                s.waiting(),
+                s.expectedWaitMillis(),
+                s.tokenGapMillis(),
+                true,
+                s.cachedPrefixes());
+    }
+}
--- a/daemon/src/main/java/io/hornbeamscale/daemon/EntrySettings.java
+++ b/daemon/src/main/java/io/hornbeamscale/daemon/EntrySettings.java
@@ -21,6 +21,7 @@
  * @param maxHeaderBytes the greatest size of the headers of a request, in bytes
  * @param maxConnections the greatest number of callers' connections
  * @param log the form of log lines, {@code text} or {@code json}
+ * @param storeRegion the region of the platform's store
  */
 record EntrySettings(
         String node,
@@ -35,4 +36,37 @@
         Path document,
         int maxHeaderBytes,
         int maxConnections,
-        String log) {}
+        String log,
+        String storeRegion) {
+    /** Creates the settings of an entry in the region of the store. */
+    EntrySettings(
+            String node,
+            String region,
+            String zone,
+            InetSocketAddress listen,
+            InetSocketAddress admin,
+            InetSocketAddress frames,
+            List<InetSocketAddress> peers,
+            URI store,
+            URI vmList,
+            Path document,
+            int maxHeaderBytes,
+            int maxConnections,
+            String log) {
+        this(
+                node,
+                region,
+                zone,
+                listen,
+                admin,
+                frames,
+                peers,
+                store,
+                vmList,
+                document,
+                maxHeaderBytes,
+                maxConnections,
+                log,
+                region);
+    }
+}
--- a/daemon/src/main/java/io/hornbeamscale/daemon/SettingsFiles.java
+++ b/daemon/src/main/java/io/hornbeamscale/daemon/SettingsFiles.java
@@ -37,7 +37,8 @@
                 document(settings),
                 (int) settings.number("maxHeaderBytes", 1_024, 1 << 20, 32 * 1024),
                 (int) settings.number("maxConnections", 1, 1_000_000, 20_000),
-                format(settings));
+                format(settings),
+                settings.text("storeRegion", NAME, NAME_ALLOWED, settings.text("region", NAME, NAME_ALLOWED, "")));
         settings.check();
         return entry;
     }
--- /dev/null
+++ b/daemon/src/main/java/io/hornbeamscale/daemon/control/AgentPlane.java
@@ -0,0 +1,140 @@
+package io.hornbeamscale.daemon.control;
+
+import io.hornbeamscale.core.distribute.ConfigMessage;
+import io.hornbeamscale.core.distribute.DistributeAction;
+import io.hornbeamscale.core.distribute.VersionFollower;
+import io.hornbeamscale.core.document.VersionedDocument;
+import io.hornbeamscale.core.error.ServingException;
+import io.hornbeamscale.core.id.NodeId;
+import io.hornbeamscale.core.util.Arguments;
+import io.hornbeamscale.wire.message.Leaving;
+import io.hornbeamscale.wire.message.Message;
+import java.util.List;
+import java.util.function.BiConsumer;
+import java.util.function.Consumer;
+import java.util.function.LongSupplier;
+import org.apache.logging.log4j.LogManager;
+import org.apache.logging.log4j.Logger;
+
+/** The control plane of an agent: it learns document versions and leaving signs from entries. Control thread only. */
+public final class AgentPlane {
+    private static final Logger LOG = LogManager.getLogger("agent");
+    private static final long TICK_MILLIS = 100;
+
+    private final NodeId self;
+    private final long incarnation;
+    private final LongSupplier clock;
+    private final BiConsumer<NodeId, Message> sender;
+    private final Consumer<VersionedDocument> apply;
+    private final Runnable drainSelf;
+    private final VersionFollower follower = new VersionFollower();
+    private long nextTickMillis;
+
+    /**
+     * Creates the control plane of an agent.
+     *
+     * @param self the own node, not null
+     * @param incarnation the incarnation of the process
+     * @param clock the process's monotonic clock, in milliseconds, not null
+     * @param sender sends a message to a connected entry, not null
+     * @param apply puts a version in force, not null
+     * @param drainSelf drains the process, not null
+     */
+    public AgentPlane(
+            NodeId self,
+            long incarnation,
+            LongSupplier clock,
+            BiConsumer<NodeId, Message> sender,
+            Consumer<VersionedDocument> apply,
+            Runnable drainSelf) {
+        this.self = Arguments.notNull(self, "self");
+        this.incarnation = incarnation;
+        this.clock = Arguments.notNull(clock, "clock");
+        this.sender = Arguments.notNull(sender, "sender");
+        this.apply = Arguments.notNull(apply, "apply");
+        this.drainSelf = Arguments.notNull(drainSelf, "drainSelf");
+    }
+
+    /**
+     * Does what is due.
+     *
+     * @param nowMillis the present time
+     */
+    public void tick(long nowMillis) {
+        if (nowMillis >= nextTickMillis) {
+            nextTickMillis = nowMillis + TICK_MILLIS;
+            carryOut(follower.tick(nowMillis));
+        }
+    }
+
+    /**
+     * Handles a message of an entry; messages of the request path are ignored.
+     *
+     * @param entry the entry, not null
+     * @param message the message, not null
+     */
+    public void received(NodeId entry, Message message) {
+        if (message instanceof Leaving m) {
+            m.signs().forEach(this::leaving);
+            return;
+        }
+        ConfigMessage read = ConfigMessages.of(message);
+        if (read != null) {
+            carryOut(follower.received(entry, read, clock.getAsLong()));
+        }
+    }
+
+    /**
+     * Handles the loss of the connection of an entry.
+     *
+     * @param entry the entry, not null
+     */
+    public void lost(NodeId entry) {
+        follower.lost(entry);
+    }
+
+    /**
+     * Returns the version in force.
+     *
+     * @return the version, 0 for none
+     */
+    public long version() {
+        return follower.versionInForce();
+    }
+
+    /**
+     * Returns the highest version that an entry has named.
+     *
+     * @return the version, 0 for none
+     */
+    public long newestKnown() {
+        return follower.newestKnown();
+    }
+
+    private void leaving(Leaving.Sign sign) {
+        boolean isMeant =
+                sign.node().equals(self.value()) && (sign.incarnation() == 0 || sign.incarnation() >= incarnation);
+        if (isMeant) {
+            LOG.info("Entry {} says that this VM is leaving.", sign.issuer());
+            drainSelf.run();
+        }
+    }
+
+    private void carryOut(List<DistributeAction> actions) {
+        for (DistributeAction action : actions) {
+            if (action instanceof DistributeAction.Send a) {
+                sender.accept(a.peer(), ConfigMessages.of(a.message()));
+            } else if (action instanceof DistributeAction.Apply a) {
+                try {
+                    apply.accept(
+                            new VersionedDocument(a.snapshot().version(), DocumentEntities.document(a.snapshot())));
+                    LOG.info(
+                            "Version {} of the document is in force.",
+                            a.snapshot().version());
+                } catch (ServingException e) {
+                    LOG.error("Version {} cannot be read: {}.", a.snapshot().version(), e.getMessage());
+                }
+            }
+        }
+    }
+}
--- /dev/null
+++ b/daemon/src/main/java/io/hornbeamscale/daemon/control/DocumentEntities.java
@@ -0,0 +1,90 @@
+package io.hornbeamscale.daemon.control;
+
+import com.fasterxml.jackson.databind.JsonNode;
+import com.fasterxml.jackson.databind.node.ArrayNode;
+import com.fasterxml.jackson.databind.node.ObjectNode;
+import io.hornbeamscale.core.distribute.ConfigSnapshot;
+import io.hornbeamscale.core.document.Document;
+import io.hornbeamscale.core.document.DocumentJson;
+import io.hornbeamscale.core.document.EntityKind;
+import io.hornbeamscale.core.error.ErrorKind;
+import io.hornbeamscale.core.error.ServingException;
+import java.util.HashMap;
+import java.util.Map;
+import java.util.TreeMap;
+
+/**
+ * Translates between the store's value, documents and snapshots. Entities keep fields that this release does not know,
+ * so an older node passes on what a newer one wrote.
+ */
+final class DocumentEntities {
+    private static final String LIMITS = "limits";
+    private static final int FORMAT = 1;
+
+    private DocumentEntities() {}
+
+    /**
+     * Reads the store's value.
+     *
+     * @throws ServingException with {@link ErrorKind#INVALID_DOCUMENT} if the text cannot be read
+     */
+    static ConfigSnapshot ofStore(String text, long revision) {
+        JsonNode tree = DocumentJson.parse(text);
+        if (tree.path("format").asInt() != FORMAT) {
+            throw new ServingException(
+                    ErrorKind.INVALID_DOCUMENT,
+                    "the document has format " + tree.path("format").asText() + "; this release reads " + FORMAT);
+        }
+        return ofTree(tree.path("document"), tree.path("version").asLong(), revision);
+    }
+
+    /** Reads the text that {@link #text} wrote. */
+    static ConfigSnapshot ofText(String text, long version, long revision) {
+        return ofTree(DocumentJson.parse(text), version, revision);
+    }
+
+    /** Returns the document as JSON. */
+    static String text(ConfigSnapshot snapshot) {
+        return DocumentJson.write(tree(snapshot));
+    }
+
+    /**
+     * Returns the document.
+     *
+     * @throws ServingException with {@link ErrorKind#INVALID_DOCUMENT} if the entities form no document
+     */
+    static Document document(ConfigSnapshot snapshot) {
+        return DocumentJson.read(tree(snapshot));
+    }
+
+    private static ConfigSnapshot ofTree(JsonNode document, long version, long revision) {
+        Map<String, String> entities = new HashMap<>();
+        for (EntityKind kind : EntityKind.values()) {
+            for (JsonNode entity : document.path(kind.section())) {
+                entities.put(kind.section() + "/" + entity.path("name").asText(), DocumentJson.write(entity));
+            }
+        }
+        if (document.has(LIMITS)) {
+            entities.put(LIMITS, DocumentJson.write(document.get(LIMITS)));
+        }
+        return new ConfigSnapshot(version, revision, entities);
+    }
+
+    private static ObjectNode tree(ConfigSnapshot snapshot) {
+        ObjectNode tree = DocumentJson.mapper().createObjectNode();
+        Map<String, ArrayNode> sections = new HashMap<>();
+        for (EntityKind kind : EntityKind.values()) {
+            sections.put(kind.section(), tree.putArray(kind.section()));
+        }
+        new TreeMap<>(snapshot.entities()).forEach((name, text) -> {
+            int slash = name.indexOf('/');
+            ArrayNode section = slash < 0 ? null : sections.get(name.substring(0, slash));
+            if (section != null) {
+                section.add(DocumentJson.parse(text));
+            } else if (name.equals(LIMITS)) {
+                tree.set(LIMITS, DocumentJson.parse(text));
+            }
+        });
+        return tree;
+    }
+}
--- a/wire/src/main/java/io/hornbeamscale/wire/FrameConnection.java
+++ b/wire/src/main/java/io/hornbeamscale/wire/FrameConnection.java
@@ -113,6 +113,7 @@
                 end("the peer closed the connection");
                 return;
             }
+            loop.countReceived(count);
             input.flip();
             while (input.remaining() >= HEADER_BYTES) {
                 int length = input.getInt(input.position());
@@ -187,6 +188,7 @@
                 ByteBuffer[] batch = queue.stream().limit(GATHER).toArray(ByteBuffer[]::new);
                 long written = channel.write(batch);
                 queuedBytes -= written;
+                loop.countSent(written);
                 while (!queue.isEmpty() && !queue.peek().hasRemaining()) {
                     queue.poll();
                 }
--- a/wire/src/main/java/io/hornbeamscale/wire/FrameLoop.java
+++ b/wire/src/main/java/io/hornbeamscale/wire/FrameLoop.java
@@ -32,6 +32,8 @@
     private final Set<FrameConnection> connections = ConcurrentHashMap.newKeySet();
     private final AtomicLong badFrames = new AtomicLong();
     private final AtomicLong unknownTypes = new AtomicLong();
+    private final AtomicLong sentBytes = new AtomicLong();
+    private final AtomicLong receivedBytes = new AtomicLong();
     private volatile boolean isClosed;
 
     /**
@@ -112,6 +114,24 @@
         return unknownTypes.get();
     }
 
+    /**
+     * Returns how many bytes of frames were sent on all connections.
+     *
+     * @return the number of bytes since the start
+     */
+    public long sentBytes() {
+        return sentBytes.get();
+    }
+
+    /**
+     * Returns how many bytes of frames were received on all connections.
+     *
+     * @return the number of bytes since the start
+     */
+    public long receivedBytes() {
+        return receivedBytes.get();
+    }
+
     @Override
     public void close() {
         isClosed = true;
@@ -138,6 +158,14 @@
         connections.remove(connection);
     }
 
+    void countSent(long bytes) {
+        sentBytes.addAndGet(bytes);
+    }
+
+    void countReceived(long bytes) {
+        receivedBytes.addAndGet(bytes);
+    }
+
     void countBadFrame() {
         badFrames.incrementAndGet();
     }
--- /dev/null
+++ b/wire/src/main/java/io/hornbeamscale/wire/message/Leaving.java
@@ -0,0 +1,39 @@
+package io.hornbeamscale.wire.message;
+
+import com.fasterxml.jackson.annotation.JsonProperty;
+import io.hornbeamscale.core.util.Arguments;
+import java.util.List;
+
+/**
+ * Passes on which nodes are leaving.
+ *
+ * @param signs the signs; null means none
+ */
+public record Leaving(@JsonProperty("s") List<Sign> signs) implements Message {
+    /** Replaces a missing list. */
+    public Leaving {
+        signs = signs == null ? List.of() : List.copyOf(signs);
+    }
+
+    /**
+     * One node that is leaving.
+     *
+     * @param node the node that is leaving, not blank
+     * @param incarnation its incarnation, 0 if the issuer does not know it
+     * @param issuer the node that saw the sign first, not blank
+     * @param issuerIncarnation the incarnation of the issuer
+     * @param sequence a number that the issuer never uses twice within its incarnation
+     */
+    public record Sign(
+            @JsonProperty("n") String node,
+            @JsonProperty("in") long incarnation,
+            @JsonProperty("i") String issuer,
+            @JsonProperty("ii") long issuerIncarnation,
+            @JsonProperty("sq") long sequence) {
+        /** Checks required fields. */
+        public Sign {
+            Arguments.notBlank(node, "node");
+            Arguments.notBlank(issuer, "issuer");
+        }
+    }
+}
--- a/wire/src/test/java/io/hornbeamscale/wire/MessageCodecTest.java
+++ b/wire/src/test/java/io/hornbeamscale/wire/MessageCodecTest.java
@@ -7,10 +7,12 @@
 import io.hornbeamscale.core.error.ErrorKind;
 import io.hornbeamscale.core.error.ServingException;
 import io.hornbeamscale.core.work.Payload;
+import io.hornbeamscale.wire.message.ConfigDelta;
 import io.hornbeamscale.wire.message.ConfigDigest;
 import io.hornbeamscale.wire.message.ConfigWhole;
 import io.hornbeamscale.wire.message.End;
 import io.hornbeamscale.wire.message.Hello;
+import io.hornbeamscale.wire.message.Leaving;
 import io.hornbeamscale.wire.message.Message;
 import io.hornbeamscale.wire.message.Reserve;
 import io.hornbeamscale.wire.message.Start;
@@ -32,7 +34,11 @@
     @Test
     void everyFieldSurvives() {
         List<Message> messages = List.of(
-                new Hello("e1", "entry", 7, 1, 3, "127.0.0.1:9"),
+                new Hello("e1", "entry", 7, 1, 3, "127.0.0.1:9", "amman", "amman-a"),
+                new Leaving(List.of(new Leaving.Sign("e2", 4, "e1", 7, 9))),
+                new ConfigDigest(5, 6, true),
+                new ConfigDelta(1, 2, 3, "{}", -4),
+                new ConfigWhole(1, 2, "{}"),
                 new Reserve("r", 1, "s", "c", "k", 2, 3, 4, List.of(5L, -6L), 7, 8, true, false, true, "m"),
                 new Start("r", 1, 7, 9, "POST", "/p", Map.of("a", "b"), Payload.ofText("{}"), 50, 0),
                 new Tokens("r", 1, "b.1.2", 4, List.of("one", " zwei")),
@@ -74,7 +80,7 @@
 
     @Test
     void messagesBeyondTheFrameLimitAreRefusedBeforeTheyAreSent() {
-        Message large = new ConfigWhole(1, "x".repeat(MessageCodec.MAX_FRAME_BYTES));
+        Message large = new ConfigWhole(1, 1, "x".repeat(MessageCodec.MAX_FRAME_BYTES));
         ServingException e = assertThrows(ServingException.class, () -> MessageCodec.encode(large));
         assertTrue(e.getMessage().contains("exceeds the frame limit of 1048576 bytes"), e.getMessage());
     }
