--- a/core/src/main/java/io/hornbeamscale/core/distribute/VersionFollower.java
+++ b/core/src/main/java/io/hornbeamscale/core/distribute/VersionFollower.java
@@ -12,8 +12,8 @@
 /**
  * Learns document versions from nodes that distribute them, without calling the store. An agent follows the entries
  * that are connected to it. After the start it waits until it has heard several of them or for a limited time, so that
- * one entry that lags does not take it back behind the version it had before a restart. Not safe for use by several
- * threads.
+ * one entry that lags does not take it back behind the version it had before a restart. A version that is not settled
+ * is ignored and asked for again. Not safe for use by several threads.
  */
 public final class VersionFollower {
     /** How long a starting node collects the versions of its sources, in milliseconds. */
@@ -67,9 +67,9 @@
         List<DistributeAction> actions = new ArrayList<>();
         if (Arguments.notNull(message, "message") instanceof ConfigMessage.Digest digest) {
             heard(from, digest.version(), nowMillis);
-        } else if (message instanceof ConfigMessage.Whole whole) {
+        } else if (message instanceof ConfigMessage.Whole whole && whole.isSettled()) {
             hold(from, whole.snapshot(), nowMillis);
-        } else if (message instanceof ConfigMessage.Delta delta) {
+        } else if (message instanceof ConfigMessage.Delta delta && delta.isSettled()) {
             delta.delta().applyTo(held).ifPresent(snapshot -> hold(from, snapshot, nowMillis));
         }
         decide(nowMillis, actions);
--- a/daemon/src/main/java/io/hornbeamscale/daemon/AgentDaemon.java
+++ b/daemon/src/main/java/io/hornbeamscale/daemon/AgentDaemon.java
@@ -122,7 +122,7 @@
         registry.gauge("waiting", () -> () -> lastStatus == null ? 0 : lastStatus.waiting());
         registry.gauge("used_tokens", () -> () -> lastStatus == null ? 0 : lastStatus.usedTokens());
         CostFields.register(registry, frames, control);
-        admin = new AdminServer(settings.admin(), registry, () -> !drain.isDraining(), this::statusFields);
+        admin = new AdminServer(settings.admin(), registry, () -> !drain.isDraining(), this::statusFields, null);
         adminAddress = admin.start();
         address = frames.listen(settings.listen(), () -> new EntryLink(control, this));
         LOG.info("Agent of {} listens on {}, incarnation {}.", backend, Addresses.format(address), incarnation);
--- /dev/null
+++ b/daemon/src/main/java/io/hornbeamscale/daemon/Consoles.java
@@ -0,0 +1,19 @@
+package io.hornbeamscale.daemon;
+
+import io.hornbeamscale.console.ConsoleHandler;
+import io.hornbeamscale.platform.KeyValueStore;
+import io.undertow.server.HttpHandler;
+import java.security.SecureRandom;
+
+/** Creates the operator console of an entry. */
+final class Consoles {
+    private Consoles() {}
+
+    /** Returns the console, null if no operators are set or there is no store. */
+    static HttpHandler handler(EntrySettings settings, KeyValueStore store) {
+        if (settings.console() == null || store == null) {
+            return null;
+        }
+        return new ConsoleHandler(settings.console(), store, new SecureRandom(), System::currentTimeMillis);
+    }
+}
--- a/daemon/src/main/java/io/hornbeamscale/daemon/EntryDaemon.java
+++ b/daemon/src/main/java/io/hornbeamscale/daemon/EntryDaemon.java
@@ -39,6 +39,8 @@
 import io.hornbeamscale.platform.KeyValueStore;
 import io.hornbeamscale.platform.PlatformIo;
 import io.hornbeamscale.wire.FrameLoop;
+import io.hornbeamscale.wire.message.ClaimAnswer;
+import io.hornbeamscale.wire.message.ClaimForward;
 import io.hornbeamscale.wire.message.End;
 import io.hornbeamscale.wire.message.Failed;
 import io.hornbeamscale.wire.message.Grant;
@@ -55,9 +57,10 @@
 import java.util.HashMap;
 import java.util.LinkedHashMap;
 import java.util.List;
-import java.util.Locale;
 import java.util.Map;
 import java.util.SplittableRandom;
+import java.util.concurrent.CompletableFuture;
+import java.util.concurrent.CompletionStage;
 import org.apache.logging.log4j.LogManager;
 import org.apache.logging.log4j.Logger;
 import org.xnio.Options;
@@ -126,13 +129,17 @@
             control.execute(() -> apply(first));
         }
         control.start();
+        metrics.gauge("config_version", () -> plane.status().version());
         metrics.gauge("open_requests", () -> openRequests);
         metrics.gauge("known_agents", () -> knownAgents);
         metrics.gauge("dropped_frames", controller::droppedFrames);
-        metrics.gauge("bad_frames", frames::badFrames);
-        metrics.gauge("unknown_messages", frames::unknownTypes);
-        metrics.gauge("control_queue", control::waiting);
-        admin = new AdminServer(settings.admin(), metrics.registry(), this::isReady, this::statusFields);
+        CostFields.register(metrics.registry(), frames, control);
+        admin = new AdminServer(
+                settings.admin(),
+                metrics.registry(),
+                this::isReady,
+                this::statusFields,
+                Consoles.handler(settings, store));
         adminAddress = admin.start();
         server = Undertow.builder()
                 .addHttpListener(
@@ -173,6 +180,11 @@
         agents.watch(plane.agentsOf(document));
     }
 
+    /** Puts a document in force from any thread. */
+    void put(Document next) {
+        control.execute(() -> apply(next));
+    }
+
     RequestReader reader() {
         return reader;
     }
@@ -186,7 +198,7 @@
         RequestId id = request.work().request();
         Caller caller = new Caller(
                 id,
-                new CallerExchange(exchange, metrics),
+                new CallerExchange(exchange),
                 request.isStreaming(),
                 request.work().model(),
                 request.work().promptTokens());
@@ -200,7 +212,7 @@
 
     /** Passes the resumption of a stream to the control thread. */
     void resume(RequestId id, CustomerId customer, EventId last, HttpServerExchange exchange) {
-        Caller caller = new Caller(id, new CallerExchange(exchange, metrics), true, "", 0);
+        Caller caller = new Caller(id, new CallerExchange(exchange), true, "", 0);
         watch(id, exchange);
         control.execute(() -> {
             callers.put(id, caller);
@@ -289,7 +301,7 @@
                                 now));
             }
         } else if (message instanceof Failed m) {
-            RunOutcome outcome = outcome(m.outcome());
+            RunOutcome outcome = Messages.outcome(m);
             carryOut(controller.responses().failed(m.attemptId(), ErrorKind.ofCode(m.code()), outcome, now));
         } else if (message instanceof Revoked m) {
             ClaimOwner holder = new ClaimOwner(m.attemptId(), backend, new GrantId(m.incarnation(), m.sequence()));
@@ -308,17 +320,12 @@
         carryOut(controller.lost(backend, ControlLoop.now()));
     }
 
-    private static RunOutcome outcome(String code) {
-        try {
-            return RunOutcome.valueOf(code.toUpperCase(Locale.ROOT));
-        } catch (IllegalArgumentException e) {
-            // A newer release may send outcomes that are unknown here.
-            return RunOutcome.UNKNOWN;
-        }
-    }
-
     private void watch(RequestId id, HttpServerExchange exchange) {
-        exchange.getConnection().addCloseListener(connection -> control.execute(() -> gone(id)));
+        metrics.responseBegun();
+        CallerConnection.watch(exchange, metrics::responseSent, () -> {
+            metrics.responseSent();
+            control.execute(() -> gone(id));
+        });
     }
 
     private void gone(RequestId id) {
@@ -385,6 +392,10 @@
                 agents.send(a.backend(), Messages.of(a));
             } else if (action instanceof EntryAction.SendRevoke a) {
                 agents.send(a.backend(), Messages.of(a));
+            } else if (action instanceof EntryAction.SendClaimForward a) {
+                plane.sendToEntry(a.writer(), ClaimMessages.of(a.forward()));
+            } else if (action instanceof EntryAction.SendClaimAnswer a) {
+                plane.sendToEntry(a.entry(), ClaimMessages.of(a.answer()));
             } else if (action instanceof EntryAction.CallStore a) {
                 callStore(a.call());
             } else {
@@ -394,20 +405,11 @@
     }
 
     private void callStore(StoreCall call) {
-        if (store == null) {
-            control.execute(() -> storeReplied(call, new StoreReply.NoAnswer(call.key())));
-            return;
-        }
-        var unused = store.execute(call)
-                .exceptionally(e -> {
-                    StoreLogs.failed(call, e);
-                    return new StoreReply.NoAnswer(call.key());
-                })
-                .thenAccept(reply -> control.execute(() -> storeReplied(call, reply)));
-    }
-
-    private void storeReplied(StoreCall call, StoreReply reply) {
-        carryOut(controller.claims().storeReplied(call, reply, ControlLoop.now()));
+        CompletionStage<StoreReply> reply = store == null
+                ? CompletableFuture.completedStage(new StoreReply.NoAnswer(call.key()))
+                : store.execute(call).exceptionally(e -> StoreLogs.failed(call, e));
+        var unused = reply.thenAccept(r ->
+                control.execute(() -> carryOut(controller.claims().storeReplied(call, r, ControlLoop.now()))));
     }
 
     private void start(EntryAction.SendStart a, long now) {
@@ -473,7 +475,17 @@
 
         @Override
         public void receivedFromPeer(NodeId from, Message message) {
-            LOG.debug("{} from entry {} is not handled here.", message, from);
+            long now = ControlLoop.now();
+            if (message instanceof ClaimForward m) {
+                carryOut(controller.claims().forwarded(from, ClaimMessages.forward(m), now));
+            } else if (message instanceof ClaimAnswer m) {
+                carryOut(controller.claims().answered(ClaimMessages.answer(m), now));
+            }
+        }
+
+        @Override
+        public void entriesChanged(List<NodeId> entries) {
+            carryOut(controller.claims().members(entries, ControlLoop.now()));
         }
 
         @Override
--- a/daemon/src/main/java/io/hornbeamscale/daemon/EntrySettings.java
+++ b/daemon/src/main/java/io/hornbeamscale/daemon/EntrySettings.java
@@ -1,5 +1,6 @@
 package io.hornbeamscale.daemon;
 
+import io.hornbeamscale.console.ConsoleSettings;
 import java.net.InetSocketAddress;
 import java.net.URI;
 import java.nio.file.Path;
@@ -15,13 +16,14 @@
  * @param admin the address for metrics and health
  * @param frames the address for other entries
  * @param peers the frame addresses of other entries
+ * @param storeRegion the region of the platform's store
+ * @param console the sign-ins of the console, null if the console is off
  * @param store the platform's store, null if there is none
  * @param vmList the platform's VM list, null if there is none
  * @param document a document file to start from, null if there is none
  * @param maxHeaderBytes the greatest size of the headers of a request, in bytes
  * @param maxConnections the greatest number of callers' connections
  * @param log the form of log lines, {@code text} or {@code json}
- * @param storeRegion the region of the platform's store
  */
 record EntrySettings(
         String node,
@@ -31,42 +33,11 @@
         InetSocketAddress admin,
         InetSocketAddress frames,
         List<InetSocketAddress> peers,
+        String storeRegion,
+        ConsoleSettings console,
         URI store,
         URI vmList,
         Path document,
         int maxHeaderBytes,
         int maxConnections,
-        String log,
-        String storeRegion) {
-    /** Creates the settings of an entry in the region of the store. */
-    EntrySettings(
-            String node,
-            String region,
-            String zone,
-            InetSocketAddress listen,
-            InetSocketAddress admin,
-            InetSocketAddress frames,
-            List<InetSocketAddress> peers,
-            URI store,
-            URI vmList,
-            Path document,
-            int maxHeaderBytes,
-            int maxConnections,
-            String log) {
-        this(
-                node,
-                region,
-                zone,
-                listen,
-                admin,
-                frames,
-                peers,
-                store,
-                vmList,
-                document,
-                maxHeaderBytes,
-                maxConnections,
-                log,
-                region);
-    }
-}
+        String log) {}
--- a/daemon/src/main/java/io/hornbeamscale/daemon/Messages.java
+++ b/daemon/src/main/java/io/hornbeamscale/daemon/Messages.java
@@ -4,6 +4,7 @@
 import io.hornbeamscale.core.attempt.AttemptState;
 import io.hornbeamscale.core.claim.ClaimResult;
 import io.hornbeamscale.core.entry.EntryAction;
+import io.hornbeamscale.core.error.RunOutcome;
 import io.hornbeamscale.core.id.AttemptId;
 import io.hornbeamscale.core.id.BackendId;
 import io.hornbeamscale.core.id.CustomerId;
@@ -29,6 +30,7 @@
 import io.hornbeamscale.wire.message.Tokens;
 import java.util.HashSet;
 import java.util.List;
+import java.util.Locale;
 import java.util.Map;
 
 /** Translates actions of the controllers into messages, and the values in messages into those of the core. */
@@ -233,6 +235,15 @@
                 : ClaimResult.of(m.status(), m.contentType(), m.body().bytes(), MAX_RESULT_BYTES);
     }
 
+    /** Returns the outcome of a failure; an outcome that is unknown to this release counts as unknown. */
+    static RunOutcome outcome(Failed m) {
+        try {
+            return RunOutcome.valueOf(m.outcome().toUpperCase(Locale.ROOT));
+        } catch (IllegalArgumentException e) {
+            return RunOutcome.UNKNOWN;
+        }
+    }
+
     private static String request(AttemptId attempt) {
         return attempt.request().value();
     }
--- a/daemon/src/main/java/io/hornbeamscale/daemon/SettingsFiles.java
+++ b/daemon/src/main/java/io/hornbeamscale/daemon/SettingsFiles.java
@@ -32,13 +32,14 @@
                 settings.address("admin"),
                 settings.address("frames"),
                 settings.addresses("peers"),
+                settings.text("storeRegion", NAME, NAME_ALLOWED, settings.text("region", NAME, NAME_ALLOWED, "none")),
+                settings.console(),
                 settings.uri("store", false),
                 settings.uri("vmList", false),
                 document(settings),
                 (int) settings.number("maxHeaderBytes", 1_024, 1 << 20, 32 * 1024),
                 (int) settings.number("maxConnections", 1, 1_000_000, 20_000),
-                format(settings),
-                settings.text("storeRegion", NAME, NAME_ALLOWED, settings.text("region", NAME, NAME_ALLOWED, "")));
+                format(settings));
         settings.check();
         return entry;
     }
--- a/daemon/src/main/java/io/hornbeamscale/daemon/StoreLogs.java
+++ b/daemon/src/main/java/io/hornbeamscale/daemon/StoreLogs.java
@@ -1,6 +1,7 @@
 package io.hornbeamscale.daemon;
 
 import io.hornbeamscale.core.store.StoreCall;
+import io.hornbeamscale.core.store.StoreReply;
 import org.apache.logging.log4j.LogManager;
 import org.apache.logging.log4j.Logger;
 
@@ -10,7 +11,9 @@
 
     private StoreLogs() {}
 
-    static void failed(StoreCall call, Throwable e) {
+    /** Logs the failure and returns the reply that stands for it. */
+    static StoreReply failed(StoreCall call, Throwable e) {
         LOG.warn("A call for the key {} failed: {}.", call.key(), e.getMessage());
+        return new StoreReply.NoAnswer(call.key());
     }
 }
--- a/daemon/src/main/java/io/hornbeamscale/daemon/control/AgentPlane.java
+++ b/daemon/src/main/java/io/hornbeamscale/daemon/control/AgentPlane.java
@@ -78,7 +78,7 @@
             m.signs().forEach(this::leaving);
             return;
         }
-        ConfigMessage read = ConfigMessages.of(message);
+        ConfigMessage read = ConfigMessages.read(message);
         if (read != null) {
             carryOut(follower.received(entry, read, clock.getAsLong()));
         }
--- a/daemon/src/main/java/io/hornbeamscale/daemon/control/ConfigFeed.java
+++ b/daemon/src/main/java/io/hornbeamscale/daemon/control/ConfigFeed.java
@@ -58,13 +58,14 @@
         carryOut(distributor.tick(nowMillis));
     }
 
+    /** Replaces the list of live peers; nothing comes into force before the first call. */
     void peers(Collection<Peer> live) {
         distributor.peers(live);
     }
 
     /** Handles a message; those of other kinds are ignored. */
     void received(NodeId from, Message message) {
-        ConfigMessage read = ConfigMessages.of(message);
+        ConfigMessage read = ConfigMessages.read(message);
         if (read == null) {
             return;
         }
--- a/daemon/src/main/java/io/hornbeamscale/daemon/control/DocumentEntities.java
+++ b/daemon/src/main/java/io/hornbeamscale/daemon/control/DocumentEntities.java
@@ -38,16 +38,6 @@
         return ofTree(tree.path("document"), tree.path("version").asLong(), revision);
     }
 
-    /** Reads the text that {@link #text} wrote. */
-    static ConfigSnapshot ofText(String text, long version, long revision) {
-        return ofTree(DocumentJson.parse(text), version, revision);
-    }
-
-    /** Returns the document as JSON. */
-    static String text(ConfigSnapshot snapshot) {
-        return DocumentJson.write(tree(snapshot));
-    }
-
     /**
      * Returns the document.
      *
--- a/daemon/src/main/java/io/hornbeamscale/daemon/control/EntryPlane.java
+++ b/daemon/src/main/java/io/hornbeamscale/daemon/control/EntryPlane.java
@@ -33,6 +33,7 @@
     private static final long TICK_MILLIS = 100;
     private static final long HEARD_MILLIS = 5_000;
     private static final long CONTACT_MILLIS = 5_000;
+    private static final long FIND_PEERS_MILLIS = 5_000;
 
     private final PlaneContext context;
     private final Host host;
@@ -46,6 +47,8 @@
     private final Map<NodeId, Long> peerVersions = new HashMap<>();
     private long nextTickMillis;
     private long nextContactMillis;
+    private final long startedMillis;
+    private boolean knowsPeers;
     private volatile PlaneStatus status = PlaneStatus.NONE;
 
     /**
@@ -59,6 +62,7 @@
         this.context = Arguments.notNull(context, "context");
         this.addresses = Arguments.notNull(addresses, "addresses");
         this.host = Arguments.notNull(host, "host");
+        this.startedMillis = context.clock().getAsLong();
         VmRecord self = context.self();
         this.peers = new PeerLinks(context.frames(), context.control(), this::hello, new PeerEvents());
         this.members = new MembershipFeed(
@@ -103,6 +107,10 @@
             contactSettled();
         }
         members.tick(nowMillis);
+        if (!knowsPeers && hasFoundPeers(nowMillis)) {
+            knowsPeers = true;
+            updatePeers();
+        }
         config.tick(nowMillis);
         publishStatus();
     }
@@ -117,7 +125,7 @@
         NodeId node = new NodeId(backend.value());
         if (message instanceof Hello hello) {
             heard(node, hello.incarnation(), false);
-            host.sendToAgent(backend, new ConfigDigest(config.version()));
+            host.sendToAgent(backend, digest(config.version()));
             if (members.isLeaving(node)) {
                 tellAgent(node);
             }
@@ -203,6 +211,11 @@
         return status;
     }
 
+    /** Agents learn only of versions that are in force here, which are settled. */
+    private static ConfigDigest digest(long version) {
+        return new ConfigDigest(version, 0, true, true, false);
+    }
+
     private Hello hello() {
         VmRecord self = context.self();
         return new Hello(
@@ -228,6 +241,25 @@
         }
     }
 
+    /** A node that believed to be alone too early would be the only holder of a version. */
+    private boolean hasFoundPeers(long nowMillis) {
+        boolean isSettled = context.vmList() == null
+                && peerVersions.size() >= context.peers().size();
+        return members.isListed() || isSettled || nowMillis - startedMillis >= FIND_PEERS_MILLIS;
+    }
+
+    private void updatePeers() {
+        List<Peer> live = new ArrayList<>();
+        List<NodeId> nodes = new ArrayList<>(List.of(context.self().node()));
+        context.board()
+                .get(MembershipSnapshot.KEY)
+                .ifPresent(snapshot ->
+                        snapshot.entries().forEach(member -> live.add(new Peer(member.node(), member.region()))));
+        live.stream().map(Peer::node).filter(node -> !nodes.contains(node)).forEach(nodes::add);
+        config.peers(live);
+        host.entriesChanged(nodes);
+    }
+
     private void heard(NodeId node, long incarnation, boolean isLeaving) {
         BackendSpec spec = specs.get(node.value());
         if (spec != null) {
@@ -256,18 +288,28 @@
     private void apply(VersionedDocument document) {
         host.apply(document);
         for (NodeId agent : List.copyOf(agents.keySet())) {
-            host.sendToAgent(new BackendId(agent.value()), new ConfigDigest(document.version()));
+            host.sendToAgent(new BackendId(agent.value()), digest(document.version()));
         }
     }
 
+    /**
+     * Sends a message to another entry. It is lost if the entry cannot be reached.
+     *
+     * @param entry the entry, not null
+     * @param message the message, not null
+     */
+    public void sendToEntry(NodeId entry, Message message) {
+        InetSocketAddress address =
+                members.find(entry).map(m -> addresses.apply(m.address())).orElse(null);
+        peers.send(entry, address, message);
+    }
+
     private void sendConfig(NodeId node, Message message) {
         if (agents.containsKey(node) || specs.containsKey(node.value())) {
             host.sendToAgent(new BackendId(node.value()), message);
             return;
         }
-        InetSocketAddress address =
-                members.find(node).map(m -> addresses.apply(m.address())).orElse(null);
-        peers.send(node, address, message);
+        sendToEntry(node, message);
     }
 
     private void tellAgent(NodeId node) {
@@ -331,6 +373,13 @@
          */
         void receivedFromPeer(NodeId from, Message message);
 
+        /**
+         * Takes the live entries.
+         *
+         * @param entries the entries with the own node
+         */
+        void entriesChanged(List<NodeId> entries);
+
         /** Drains this process, since its VM is leaving. */
         void drainSelf();
     }
@@ -397,12 +446,9 @@
 
         @Override
         public void membersChanged() {
-            List<Peer> live = new ArrayList<>();
-            context.board()
-                    .get(MembershipSnapshot.KEY)
-                    .ifPresent(snapshot ->
-                            snapshot.entries().forEach(member -> live.add(new Peer(member.node(), member.region()))));
-            config.peers(live);
+            if (knowsPeers) {
+                updatePeers();
+            }
             peerVersions.keySet().removeIf(node -> members.find(node).isEmpty());
         }
 
--- a/daemon/src/main/java/io/hornbeamscale/daemon/control/MembershipFeed.java
+++ b/daemon/src/main/java/io/hornbeamscale/daemon/control/MembershipFeed.java
@@ -37,6 +37,7 @@
     private long nextRetryMillis = Long.MIN_VALUE;
     private boolean isReading;
     private boolean isListSilent;
+    private boolean isListed;
 
     MembershipFeed(
             VmRecord self,
@@ -100,6 +101,11 @@
         return view.find(node).filter(m -> m.state() == MemberState.LEAVING).isPresent();
     }
 
+    /** Returns whether the VM list has answered since the start. */
+    boolean isListed() {
+        return isListed;
+    }
+
     boolean isListSilent() {
         return isListSilent;
     }
@@ -119,6 +125,7 @@
                     }
                     if (vms.isPresent()) {
                         carryOut(view.listed(vms.get(), clock.getAsLong()));
+                        isListed = true;
                         events.listed();
                     }
                 }));
--- a/daemon/src/test/java/io/hornbeamscale/daemon/ControlSite.java
+++ b/daemon/src/test/java/io/hornbeamscale/daemon/ControlSite.java
@@ -81,6 +81,8 @@
                         .limit(1)
                         .map(EntryDaemon::framesAddress)
                         .toList(),
+                "amman",
+                null,
                 storeUri,
                 vmListUri,
                 null,
