--- a/daemon/src/main/java/io/hornbeamscale/daemon/EntryDaemon.java
+++ b/daemon/src/main/java/io/hornbeamscale/daemon/EntryDaemon.java
@@ -180,6 +180,11 @@
         agents.watch(plane.agentsOf(document));
     }
 
+    /** Returns the version of the document in force, 0 for none. */
+    long configVersion() {
+        return config.version();
+    }
+
     /** Puts a document in force from any thread. */
     void put(Document next) {
         control.execute(() -> apply(next));
--- a/daemon/src/main/java/io/hornbeamscale/daemon/Logs.java
+++ b/daemon/src/main/java/io/hornbeamscale/daemon/Logs.java
@@ -17,6 +17,7 @@
     /** Logs errors only. */
     static void quiet() {
         configure("text", Level.ERROR);
+        Configurator.setLevel("org.xnio.listener", Level.OFF);
     }
 
     /** Logs to the standard error stream, as {@code text} or as {@code json}. */
@@ -35,6 +36,8 @@
             appender.add(builder.newLayout("PatternLayout").addAttribute("pattern", PATTERN));
         }
         builder.add(appender);
+        // Log lines are needed until the graceful stop ends.
+        builder.setShutdownHook("disable");
         for (String quiet : new String[] {"io.undertow", "org.xnio", "org.jboss"}) {
             builder.add(builder.newLogger(quiet, Level.ERROR));
         }
