--- a/daemon/src/main/java/io/hornbeamscale/daemon/EntryDaemon.java
+++ b/daemon/src/main/java/io/hornbeamscale/daemon/EntryDaemon.java
@@ -33,7 +33,6 @@
 import io.hornbeamscale.core.stream.EventId;
 import io.hornbeamscale.core.work.BackendStatus;
 import io.hornbeamscale.daemon.control.EntryPlane;
-import io.hornbeamscale.daemon.control.PlaneStatus;
 import io.hornbeamscale.platform.CallPolicy;
 import io.hornbeamscale.platform.HttpKeyValueStore;
 import io.hornbeamscale.platform.KeyValueStore;
@@ -182,7 +181,7 @@
 
     /** Returns the version of the document in force, 0 for none. */
     long configVersion() {
-        return config.version();
+        return plane.status().version();
     }
 
     /** Puts a document in force from any thread. */
@@ -249,11 +248,6 @@
         return framesAddress;
     }
 
-    /** Returns the state of the control plane, as of its last tick. */
-    PlaneStatus planeStatus() {
-        return plane.status();
-    }
-
     /** Returns the number of requests that wait or run, as of the last tick. */
     int openRequests() {
         return openRequests;
--- a/daemon/src/main/java/io/hornbeamscale/daemon/bench/BenchAgent.java
+++ b/daemon/src/main/java/io/hornbeamscale/daemon/bench/BenchAgent.java
@@ -32,7 +32,7 @@
 
     @Override
     public void opened(FrameConnection connection) {
-        connection.send(new Hello(BACKEND, "agent", INCARNATION, MessageCodec.PROTOCOL_VERSION, 0, "", ""));
+        connection.send(new Hello(BACKEND, "agent", INCARNATION, MessageCodec.PROTOCOL_VERSION, 0, ""));
     }
 
     @Override
--- a/daemon/src/test/java/io/hornbeamscale/daemon/ControlPlaneTest.java
+++ b/daemon/src/test/java/io/hornbeamscale/daemon/ControlPlaneTest.java
@@ -85,8 +85,8 @@
         EntryDaemon restarted = site.startEntry("e1");
         List<Long> seen = new ArrayList<>();
         Await.until("the restarted entry has a version", () -> {
-            seen.add(restarted.planeStatus().version());
-            return restarted.planeStatus().version() > 0;
+            seen.add(restarted.configVersion());
+            return restarted.configVersion() > 0;
         });
         assertTrue(seen.stream().allMatch(version -> version == 0 || version == 3), seen.toString());
         site.awaitVersion(3);
--- a/daemon/src/test/java/io/hornbeamscale/daemon/ControlSite.java
+++ b/daemon/src/test/java/io/hornbeamscale/daemon/ControlSite.java
@@ -114,7 +114,7 @@
         for (Map.Entry<String, EntryDaemon> entry : entries.entrySet()) {
             Await.until(
                     entry.getKey() + " has version " + version,
-                    () -> entry.getValue().planeStatus().version() == version);
+                    () -> entry.getValue().configVersion() == version);
         }
         for (AgentDaemon agent : agents) {
             Await.until("an agent has version " + version, () -> agent.configVersion() == version);
