--- a/daemon/src/main/java/io/hornbeamscale/daemon/EntryDaemon.java
+++ b/daemon/src/main/java/io/hornbeamscale/daemon/EntryDaemon.java
@@ -1,16 +1,15 @@
 package io.hornbeamscale.daemon;
 
-import io.hornbeamscale.console.ConsoleHandler;
 import io.hornbeamscale.core.claim.ClaimController;
 import io.hornbeamscale.core.claim.ClaimOwner;
 import io.hornbeamscale.core.claim.ClaimSettings;
 import io.hornbeamscale.core.dispatch.BackendPlace;
 import io.hornbeamscale.core.dispatch.DispatcherConfig;
 import io.hornbeamscale.core.dispatch.ReservationDispatcher;
-import io.hornbeamscale.core.distribute.Peer;
 import io.hornbeamscale.core.document.BackendSpec;
 import io.hornbeamscale.core.document.Document;
 import io.hornbeamscale.core.document.LimitsSpec;
+import io.hornbeamscale.core.document.VersionedDocument;
 import io.hornbeamscale.core.drain.DrainAction;
 import io.hornbeamscale.core.drain.DrainSign;
 import io.hornbeamscale.core.entry.EntryAction;
@@ -32,6 +31,8 @@
 import io.hornbeamscale.core.store.StoreCall;
 import io.hornbeamscale.core.store.StoreReply;
 import io.hornbeamscale.core.stream.EventId;
+import io.hornbeamscale.core.work.BackendStatus;
+import io.hornbeamscale.daemon.control.EntryPlane;
 import io.hornbeamscale.platform.CallPolicy;
 import io.hornbeamscale.platform.HttpKeyValueStore;
 import io.hornbeamscale.platform.KeyValueStore;
@@ -49,23 +50,22 @@
 import io.hornbeamscale.wire.message.Tokens;
 import io.undertow.Undertow;
 import io.undertow.UndertowOptions;
-import io.undertow.server.HttpHandler;
 import io.undertow.server.HttpServerExchange;
 import java.net.InetSocketAddress;
-import java.security.SecureRandom;
 import java.util.ArrayList;
 import java.util.HashMap;
 import java.util.LinkedHashMap;
 import java.util.List;
-import java.util.Locale;
 import java.util.Map;
 import java.util.SplittableRandom;
+import java.util.concurrent.CompletableFuture;
+import java.util.concurrent.CompletionStage;
 import org.apache.logging.log4j.LogManager;
 import org.apache.logging.log4j.Logger;
 import org.xnio.Options;
 
 /** The entry process: it accepts callers over HTTP and hands their requests to agents. */
-final class EntryDaemon implements AutoCloseable, AgentLinks.Events, PeerLinks.Events {
+final class EntryDaemon implements AutoCloseable, AgentLinks.Events {
     private static final Logger LOG = LogManager.getLogger("entry");
     private static final int HEADER_ROOM_BYTES = 1 << 20;
     private static final int IO_THREADS = 4;
@@ -78,8 +78,6 @@
     private final ControlLoop control;
     private final FrameLoop frames;
     private final AgentLinks agents;
-    private final PeerLinks peers;
-    private final ConfigNode config;
     private final PlatformIo platform;
     private final KeyValueStore store;
     private final EntryMetrics metrics = new EntryMetrics();
@@ -88,6 +86,11 @@
     private volatile int openRequests;
     private volatile int knownAgents;
     private final DrainWatch drain;
+    private final long incarnation = Incarnations.next();
+    private final Map<BackendId, BackendStatus> statuses = new HashMap<>();
+    private volatile EntryPlane plane;
+    private Document document = Document.empty();
+    private InetSocketAddress framesAddress;
     private Undertow server;
     private AdminServer admin;
     private InetSocketAddress adminAddress;
@@ -97,7 +100,6 @@
         DispatcherConfig config = DispatcherConfig.builder(new ZoneId(settings.zone()), new RegionId(settings.region()))
                 .build();
         this.dispatcher = new ReservationDispatcher(config, new SplittableRandom(Incarnations.next()));
-        long incarnation = Incarnations.next();
         ClaimSettings claims = ClaimSettings.standard(CLAIM_RETENTION_MILLIS, EPOCH_OFFSET_MILLIS);
         this.controller = new EntryController(
                 dispatcher,
@@ -114,27 +116,29 @@
                 this::giveUp);
         this.frames = new FrameLoop("entry-frames");
         this.agents = new AgentLinks(settings.node(), incarnation, frames, control, this);
-        this.peers = new PeerLinks(settings, incarnation, frames, control, this);
-        this.config = new ConfigNode(settings, store, control, peers::send, this::apply);
     }
 
     /** Starts the entry and returns the address for callers. */
     InetSocketAddress start() {
-        control.start();
+        framesAddress = frames.listen(settings.frames(), () -> plane.accept());
+        plane = EntryPlanes.create(
+                settings, framesAddress, incarnation, frames, platform, store, control, new PlaneHost());
         if (settings.document() != null) {
-            Document document = SettingsFiles.document(settings.document());
-            control.execute(() -> apply(document));
+            Document first = SettingsFiles.document(settings.document());
+            control.execute(() -> apply(first));
         }
-        LOG.info("Other entries connect to {}.", Addresses.format(peers.listen()));
-        control.execute(peers::connect);
-        metrics.gauge("config_version", config::version);
+        control.start();
+        metrics.gauge("config_version", () -> plane.status().version());
         metrics.gauge("open_requests", () -> openRequests);
         metrics.gauge("known_agents", () -> knownAgents);
         metrics.gauge("dropped_frames", controller::droppedFrames);
-        metrics.gauge("bad_frames", frames::badFrames);
-        metrics.gauge("unknown_messages", frames::unknownTypes);
-        metrics.gauge("control_queue", control::waiting);
-        admin = new AdminServer(settings.admin(), metrics.registry(), this::isReady, this::statusFields, console());
+        CostFields.register(metrics.registry(), frames, control);
+        admin = new AdminServer(
+                settings.admin(),
+                metrics.registry(),
+                this::isReady,
+                this::statusFields,
+                Consoles.handler(settings, store));
         adminAddress = admin.start();
         server = Undertow.builder()
                 .addHttpListener(
@@ -157,10 +161,10 @@
     }
 
     /** Puts a document in force. Runs on the control thread. */
-    void apply(Document document) {
+    void apply(Document next) {
+        document = next;
         reader = new RequestReader(document);
         List<BackendPlace> places = new ArrayList<>();
-        Map<BackendId, InetSocketAddress> addresses = new HashMap<>();
         for (BackendSpec spec : document.backends()) {
             BackendId backend = new BackendId(spec.name());
             places.add(new BackendPlace(
@@ -169,21 +173,20 @@
                     spec.model(),
                     new ZoneId(spec.zone()),
                     new RegionId(spec.region())));
-            addresses.put(backend, Addresses.parse(spec.address()));
         }
         long now = ControlLoop.now();
         carryOut(controller.watch(places, now));
-        agents.watch(addresses);
+        agents.watch(plane.agentsOf(document));
     }
 
     /** Returns the version of the document in force, 0 for none. */
     long configVersion() {
-        return config.version();
+        return plane.status().version();
     }
 
     /** Puts a document in force from any thread. */
-    void put(Document document) {
-        control.execute(() -> apply(document));
+    void put(Document next) {
+        control.execute(() -> apply(next));
     }
 
     RequestReader reader() {
@@ -224,7 +227,10 @@
 
     /** Begins a graceful stop; the process may end once {@link #isDrained} returns true. */
     void drain(DrainSign sign) {
-        control.execute(() -> drain.begin(sign, reader.limits().drainMillis()));
+        control.execute(() -> {
+            drain.begin(sign, reader.limits().drainMillis());
+            plane.leaving();
+        });
     }
 
     /** Returns whether a graceful stop is over and every response has left. */
@@ -237,6 +243,11 @@
         return adminAddress;
     }
 
+    /** Returns the address for other entries. */
+    InetSocketAddress framesAddress() {
+        return framesAddress;
+    }
+
     /** Returns the number of requests that wait or run, as of the last tick. */
     int openRequests() {
         return openRequests;
@@ -261,6 +272,7 @@
     @Override
     public void received(BackendId backend, Message message) {
         long now = ControlLoop.now();
+        plane.received(backend, message);
         if (message instanceof Tokens m) {
             carryOut(controller
                     .responses()
@@ -269,7 +281,11 @@
             GrantId grant = new GrantId(m.incarnation(), m.sequence());
             carryOut(controller.granted(backend, m.attemptId(), grant, m.validMillis(), now));
         } else if (message instanceof Refuse m) {
-            carryOut(controller.refused(backend, m.attemptId(), ErrorKind.ofCode(m.code()), m.retryAfterMillis(), now));
+            ErrorKind kind = ErrorKind.ofCode(m.code());
+            if (kind == ErrorKind.DRAINING) {
+                plane.refusedForDraining(backend);
+            }
+            carryOut(controller.refused(backend, m.attemptId(), kind, m.retryAfterMillis(), now));
         } else if (message instanceof End m) {
             if (m.status() != 0) {
                 carryOut(controller.responses().answered(m.attemptId(), m.status(), m.headers(), m.body(), now));
@@ -284,50 +300,25 @@
                                 now));
             }
         } else if (message instanceof Failed m) {
-            RunOutcome outcome = outcome(m.outcome());
+            RunOutcome outcome = Messages.outcome(m);
             carryOut(controller.responses().failed(m.attemptId(), ErrorKind.ofCode(m.code()), outcome, now));
         } else if (message instanceof Revoked m) {
             ClaimOwner holder = new ClaimOwner(m.attemptId(), backend, new GrantId(m.incarnation(), m.sequence()));
             carryOut(controller.claims().revoked(holder, Messages.state(m), Messages.result(m), now));
         } else if (message instanceof Status m) {
-            carryOut(controller.status(Messages.status(m), now));
+            BackendStatus status = Messages.status(m);
+            statuses.put(backend, status);
+            carryOut(controller.status(plane.isLeaving(backend) ? EntryPlanes.leaving(status) : status, now));
         }
     }
 
     @Override
     public void lost(BackendId backend) {
+        statuses.remove(backend);
+        plane.agentLost(backend);
         carryOut(controller.lost(backend, ControlLoop.now()));
     }
 
-    @Override
-    public void received(NodeId peer, Message message) {
-        long now = ControlLoop.now();
-        if (message instanceof ClaimForward m) {
-            carryOut(controller.claims().forwarded(peer, ClaimMessages.forward(m), now));
-        } else if (message instanceof ClaimAnswer m) {
-            carryOut(controller.claims().answered(ClaimMessages.answer(m), now));
-        } else {
-            config.received(peer, message, now);
-        }
-    }
-
-    @Override
-    public void peersChanged(List<Peer> live) {
-        config.peers(live);
-        List<NodeId> nodes = new ArrayList<>(List.of(new NodeId(settings.node())));
-        live.forEach(peer -> nodes.add(peer.node()));
-        carryOut(controller.claims().members(nodes, ControlLoop.now()));
-    }
-
-    private static RunOutcome outcome(String code) {
-        try {
-            return RunOutcome.valueOf(code.toUpperCase(Locale.ROOT));
-        } catch (IllegalArgumentException e) {
-            // A newer release may send outcomes that are unknown here.
-            return RunOutcome.UNKNOWN;
-        }
-    }
-
     private void watch(RequestId id, HttpServerExchange exchange) {
         metrics.responseBegun();
         CallerConnection.watch(exchange, metrics::responseSent, () -> {
@@ -343,13 +334,6 @@
         }
     }
 
-    private HttpHandler console() {
-        if (settings.console() == null || store == null) {
-            return null;
-        }
-        return new ConsoleHandler(settings.console(), store, new SecureRandom(), System::currentTimeMillis);
-    }
-
     private boolean isReady() {
         return !drain.isDraining() && knownAgents > 0;
     }
@@ -358,10 +342,11 @@
         Map<String, Object> fields = new LinkedHashMap<>();
         fields.put("role", "entry");
         fields.put("node", settings.node());
-        fields.put("config_version", config.version());
         fields.put("open_requests", openRequests);
         fields.put("known_agents", knownAgents);
         fields.put("draining", drain.isDraining());
+        fields.putAll(CostFields.of(frames, control));
+        fields.putAll(plane.status().fields());
         return fields;
     }
 
@@ -378,10 +363,9 @@
 
     private void tick() {
         drain.tick(0);
+        plane.tick(ControlLoop.now());
         carryOut(controller.tick(ControlLoop.now()));
         agents.tick(ControlLoop.now());
-        peers.tick(ControlLoop.now());
-        config.tick(ControlLoop.now());
         openRequests = callers.size();
         knownAgents = agents.known();
     }
@@ -407,12 +391,12 @@
                 agents.send(a.backend(), Messages.of(a));
             } else if (action instanceof EntryAction.SendRevoke a) {
                 agents.send(a.backend(), Messages.of(a));
-            } else if (action instanceof EntryAction.CallStore a) {
-                callStore(a.call());
             } else if (action instanceof EntryAction.SendClaimForward a) {
-                peers.send(a.writer(), ClaimMessages.of(a.forward()));
+                plane.sendToEntry(a.writer(), ClaimMessages.of(a.forward()));
             } else if (action instanceof EntryAction.SendClaimAnswer a) {
-                peers.send(a.entry(), ClaimMessages.of(a.answer()));
+                plane.sendToEntry(a.entry(), ClaimMessages.of(a.answer()));
+            } else if (action instanceof EntryAction.CallStore a) {
+                callStore(a.call());
             } else {
                 answer(action);
             }
@@ -420,20 +404,11 @@
     }
 
     private void callStore(StoreCall call) {
-        if (store == null) {
-            control.execute(() -> storeReplied(call, new StoreReply.NoAnswer(call.key())));
-            return;
-        }
-        var unused = store.execute(call)
-                .exceptionally(e -> {
-                    StoreLogs.failed(call, e);
-                    return new StoreReply.NoAnswer(call.key());
-                })
-                .thenAccept(reply -> control.execute(() -> storeReplied(call, reply)));
-    }
-
-    private void storeReplied(StoreCall call, StoreReply reply) {
-        carryOut(controller.claims().storeReplied(call, reply, ControlLoop.now()));
+        CompletionStage<StoreReply> reply = store == null
+                ? CompletableFuture.completedStage(new StoreReply.NoAnswer(call.key()))
+                : store.execute(call).exceptionally(e -> StoreLogs.failed(call, e));
+        var unused = reply.thenAccept(r ->
+                control.execute(() -> carryOut(controller.claims().storeReplied(call, r, ControlLoop.now()))));
     }
 
     private void start(EntryAction.SendStart a, long now) {
@@ -471,4 +446,50 @@
             }
         }
     }
+
+    /** Carries out the decisions of the control plane. */
+    private final class PlaneHost implements EntryPlane.Host {
+        @Override
+        public void apply(VersionedDocument next) {
+            EntryDaemon.this.apply(next.document());
+        }
+
+        @Override
+        public void agentsMoved() {
+            agents.watch(plane.agentsOf(document));
+        }
+
+        @Override
+        public void stopWork(BackendId backend) {
+            BackendStatus last = statuses.get(backend);
+            if (last != null && plane.isLeaving(backend)) {
+                carryOut(controller.status(EntryPlanes.leaving(last), ControlLoop.now()));
+            }
+        }
+
+        @Override
+        public void sendToAgent(BackendId backend, Message message) {
+            agents.send(backend, message);
+        }
+
+        @Override
+        public void receivedFromPeer(NodeId from, Message message) {
+            long now = ControlLoop.now();
+            if (message instanceof ClaimForward m) {
+                carryOut(controller.claims().forwarded(from, ClaimMessages.forward(m), now));
+            } else if (message instanceof ClaimAnswer m) {
+                carryOut(controller.claims().answered(ClaimMessages.answer(m), now));
+            }
+        }
+
+        @Override
+        public void entriesChanged(List<NodeId> entries) {
+            carryOut(controller.claims().members(entries, ControlLoop.now()));
+        }
+
+        @Override
+        public void drainSelf() {
+            drain.begin(DrainSign.LISTED_AS_LEAVING, reader.limits().drainMillis());
+        }
+    }
 }
--- a/daemon/src/main/java/io/hornbeamscale/daemon/StatusCommand.java
+++ b/daemon/src/main/java/io/hornbeamscale/daemon/StatusCommand.java
@@ -2,6 +2,8 @@
 
 import com.beust.jcommander.Parameter;
 import com.beust.jcommander.Parameters;
+import com.fasterxml.jackson.core.JsonProcessingException;
+import com.fasterxml.jackson.databind.ObjectMapper;
 import java.io.IOException;
 import java.net.URI;
 import java.net.http.HttpClient;
@@ -10,17 +12,22 @@
 import java.time.Duration;
 import java.util.List;
 
-/** Prints the status of processes, with the version of the document that each has in force. */
+/** Prints which version of the document each process has in force, which of them lag and why. */
 @Parameters(commandDescription = "Show the status of processes and the version in force at each")
 final class StatusCommand extends Command {
     private static final Duration LIMIT = Duration.ofSeconds(5);
+    private static final ObjectMapper JSON = new ObjectMapper();
 
     @Parameter(names = "--admin", required = true, description = "Admin addresses, separated by commas")
     private List<String> addresses;
 
+    @Parameter(names = "--json", description = "Print JSON instead of a table")
+    private boolean isJson;
+
     @Override
     int run() {
         HttpClient http = HttpClient.newBuilder().connectTimeout(LIMIT).build();
+        VersionTable table = new VersionTable();
         int status = 0;
         for (String address : addresses) {
             if (Addresses.parse(address) == null) {
@@ -30,16 +37,29 @@
             URI uri = URI.create("http://" + address + "/status");
             HttpRequest request = HttpRequest.newBuilder(uri).timeout(LIMIT).build();
             try {
-                HttpResponse<String> response = http.send(request, HttpResponse.BodyHandlers.ofString());
-                System.out.println(address + " " + response.body().strip());
+                table.add(JSON.readTree(
+                        http.send(request, HttpResponse.BodyHandlers.ofString()).body()));
             } catch (IOException e) {
-                System.out.println(address + " does not answer: " + e);
+                table.addSilent(address, "does not answer: " + e);
                 status = 1;
             } catch (InterruptedException e) {
                 Thread.currentThread().interrupt();
                 return 1;
             }
         }
+        print(table);
         return status;
     }
+
+    private void print(VersionTable table) {
+        if (!isJson) {
+            table.lines().forEach(System.out::println);
+            return;
+        }
+        try {
+            System.out.println(JSON.writerWithDefaultPrettyPrinter().writeValueAsString(table.fields()));
+        } catch (JsonProcessingException e) {
+            throw new IllegalStateException("cannot write JSON", e);
+        }
+    }
 }
--- a/daemon/src/main/java/io/hornbeamscale/daemon/ConfigMessages.java
+++ b/daemon/src/main/java/io/hornbeamscale/daemon/control/ConfigMessages.java
@@ -1,4 +1,4 @@
-package io.hornbeamscale.daemon;
+package io.hornbeamscale.daemon.control;
 
 import io.hornbeamscale.core.distribute.ConfigMessage;
 import io.hornbeamscale.core.distribute.ConfigSnapshot;
