--- a/core/src/main/java/io/hornbeamscale/core/schedule/FairCounters.java
+++ b/core/src/main/java/io/hornbeamscale/core/schedule/FairCounters.java
@@ -53,7 +53,7 @@
     /** Forgets a customer that has nothing waiting or running, so that the table stays small. */
     void forget(CustomerId customer) {
         Counter c = counters.get(customer);
-        if (c != null && c.waiting == 0 && counters.size() > MAX_CUSTOMERS) {
+        if (c != null && c.waiting == 0 && c.held < 1e-6 && counters.size() > MAX_CUSTOMERS) {
             counters.remove(customer);
         }
     }
@@ -65,13 +65,25 @@
         }
     }
 
+    /**
+     * Raises a customer's place in the order while a request runs, or lowers it again. Held tokens do not lift
+     * customers that begin to wait, since they are given back at the end.
+     */
+    void hold(CustomerId customer, double tokens) {
+        Counter c = counters.get(customer);
+        if (c != null) {
+            c.held += tokens / weights.getOrDefault(customer, 1.0);
+        }
+    }
+
     double value(CustomerId customer) {
         Counter c = counters.get(customer);
-        return c == null ? 0 : c.value;
+        return c == null ? 0 : c.value + c.held;
     }
 
     private static final class Counter {
         double value;
+        double held;
         int waiting;
     }
 }
--- a/core/src/main/java/io/hornbeamscale/core/schedule/MemoryScheduler.java
+++ b/core/src/main/java/io/hornbeamscale/core/schedule/MemoryScheduler.java
@@ -159,7 +159,8 @@
         grants++;
         GrantId grant = new GrantId(config.incarnation(), grants);
         HeldWork h = new HeldWork(q, grant, nowMillis + config.grantMillis(), HOLD_SHARE * q.expectedTokens);
-        charge(h, h.promptTokens + h.charged);
+        charge(h, h.promptTokens);
+        hold(h, h.charged);
         memory.add(h);
         return new ScheduleAction.SendGrant(r.entry(), r.attempt(), grant, config.grantMillis());
     }
@@ -170,6 +171,12 @@
         }
     }
 
+    private void hold(HeldWork h, double tokens) {
+        if (config.isFair()) {
+            counters.hold(h.reservation.work().customer(), tokens);
+        }
+    }
+
     private void forget(AttemptId attempt) {
         QueuedWork q = waiting.remove(attempt);
         if (q != null && !q.isLong) {
@@ -180,7 +187,8 @@
     private HeldWork release(AttemptId attempt) {
         HeldWork h = memory.remove(attempt);
         if (h != null) {
-            charge(h, -h.charged - (h.isStarted ? 0 : h.promptTokens));
+            hold(h, -h.charged);
+            charge(h, h.isStarted ? 0 : -h.promptTokens);
             counters.forget(h.reservation.work().customer());
         }
         return h;
