Enforce customers' limits at the entries and bound status traffic

Cause: the limiter had no limits in the daemons, so rate_limited was never issued; an agent's status cost each entry 336 B/s whatever the number of entries; a stream was cancelled 2 s after its caller left, while event-source clients reconnect after 3 s. Change: CustomerLimits exchanges demand and leases between entries by LimitShare; the status interval grows with the number of entries; a stream waits 10 s for its caller; the callers of an entry have a class of their own (Callers). Before: no limit was applied.

--- a/core/src/main/java/io/hornbeamscale/core/entry/EntryController.java
+++ b/core/src/main/java/io/hornbeamscale/core/entry/EntryController.java
@@ -33,7 +33,7 @@
  */
 public final class EntryController {
     /** How long a stream goes on without its caller, which may resume it after a lost connection. */
-    public static final long ABANDONED_MILLIS = 2_000;
+    public static final long ABANDONED_MILLIS = 10_000;
 
     private final Dispatcher dispatcher;
     private final KeyedCalls keyed;
--- a/daemon/src/main/java/io/hornbeamscale/daemon/AgentDaemon.java
+++ b/daemon/src/main/java/io/hornbeamscale/daemon/AgentDaemon.java
@@ -57,7 +57,6 @@
 /** The agent process: it accepts frames of entries and runs their calls on the backend server beside it. */
 final class AgentDaemon implements AutoCloseable, EntryLink.Owner {
     private static final Logger LOG = LogManager.getLogger("agent");
-    private static final long STATUS_MILLIS = 250;
     private static final long LOAD_MILLIS = 500;
     private static final int MAX_REATTACHES = 3;
     private static final char TAG_SEPARATOR = '~';
@@ -220,7 +219,7 @@
         newestVersion = plane.newestKnown();
         lastStatus = controller.status(now);
         if (now >= nextStatusMillis) {
-            nextStatusMillis = now + STATUS_MILLIS;
+            nextStatusMillis = now + StatusInterval.millis(entries.size());
             Message status = Messages.of(lastStatus, configVersion);
             entries.values().forEach(link -> link.send(status));
         }
--- /dev/null
+++ b/daemon/src/main/java/io/hornbeamscale/daemon/Callers.java
@@ -0,0 +1,64 @@
+package io.hornbeamscale.daemon;
+
+import io.hornbeamscale.core.entry.EntryAction;
+import io.hornbeamscale.core.error.ErrorAnswers;
+import io.hornbeamscale.core.id.RequestId;
+import java.util.HashMap;
+import java.util.Map;
+
+/** The callers that wait for a response, and the actions that answer them. Used on the control thread. */
+final class Callers {
+    private final Map<RequestId, Caller> callers = new HashMap<>();
+    private final EntryMetrics metrics;
+
+    Callers(EntryMetrics metrics) {
+        this.metrics = metrics;
+    }
+
+    void add(RequestId id, Caller caller) {
+        callers.put(id, caller);
+        metrics.countRequest();
+    }
+
+    /** Forgets a caller that went away, and returns whether it was still waiting. */
+    boolean remove(RequestId id) {
+        return callers.remove(id) != null;
+    }
+
+    int size() {
+        return callers.size();
+    }
+
+    void carryOut(EntryAction action) {
+        if (action instanceof EntryAction.Deliver a) {
+            Caller caller = callers.get(a.request());
+            if (caller != null) {
+                metrics.countTokens(a.texts().size());
+                caller.deliver(a);
+            }
+        } else if (action instanceof EntryAction.Restart a) {
+            Caller caller = callers.get(a.request());
+            if (caller != null) {
+                caller.restart(a);
+            }
+        } else if (action instanceof EntryAction.Finish a) {
+            Caller caller = callers.remove(a.request());
+            if (caller != null) {
+                metrics.countFinished();
+                caller.finish(a);
+            }
+        } else if (action instanceof EntryAction.Answer a) {
+            Caller caller = callers.remove(a.request());
+            if (caller != null) {
+                metrics.countFinished();
+                caller.answer(a);
+            }
+        } else if (action instanceof EntryAction.Fail a) {
+            metrics.countError(a.kind());
+            Caller caller = callers.remove(a.request());
+            if (caller != null) {
+                caller.fail(a, ErrorAnswers.of(a.kind()).httpStatus());
+            }
+        }
+    }
+}
--- a/daemon/src/main/java/io/hornbeamscale/daemon/EntryDaemon.java
+++ b/daemon/src/main/java/io/hornbeamscale/daemon/EntryDaemon.java
@@ -15,7 +15,6 @@
 import io.hornbeamscale.core.entry.EntryAction;
 import io.hornbeamscale.core.entry.EntryController;
 import io.hornbeamscale.core.entry.EntryRequest;
-import io.hornbeamscale.core.error.ErrorAnswers;
 import io.hornbeamscale.core.error.ErrorKind;
 import io.hornbeamscale.core.error.RunOutcome;
 import io.hornbeamscale.core.error.ServingException;
@@ -32,6 +31,7 @@
 import io.hornbeamscale.core.store.StoreReply;
 import io.hornbeamscale.core.stream.EventId;
 import io.hornbeamscale.core.work.BackendStatus;
+import io.hornbeamscale.daemon.control.CustomerLimits;
 import io.hornbeamscale.daemon.control.EntryPlane;
 import io.hornbeamscale.platform.CallPolicy;
 import io.hornbeamscale.platform.HttpKeyValueStore;
@@ -43,6 +43,7 @@
 import io.hornbeamscale.wire.message.End;
 import io.hornbeamscale.wire.message.Failed;
 import io.hornbeamscale.wire.message.Grant;
+import io.hornbeamscale.wire.message.LimitShare;
 import io.hornbeamscale.wire.message.Message;
 import io.hornbeamscale.wire.message.Refuse;
 import io.hornbeamscale.wire.message.Revoked;
@@ -81,7 +82,8 @@
     private final PlatformIo platform;
     private final KeyValueStore store;
     private final EntryMetrics metrics = new EntryMetrics();
-    private final Map<RequestId, Caller> callers = new HashMap<>();
+    private final Callers callers = new Callers(metrics);
+    private final CustomerLimits limits;
     private volatile RequestReader reader = new RequestReader(Document.empty());
     private volatile int openRequests;
     private volatile int knownAgents;
@@ -116,6 +118,8 @@
                 this::giveUp);
         this.frames = new FrameLoop("entry-frames");
         this.agents = new AgentLinks(settings.node(), incarnation, frames, control, this);
+        this.limits = new CustomerLimits(
+                new NodeId(settings.node()), dispatcher.limits(), (node, m) -> plane.sendToEntry(node, m));
     }
 
     /** Starts the entry and returns the address for callers. */
@@ -175,6 +179,7 @@
                     new RegionId(spec.region())));
         }
         long now = ControlLoop.now();
+        limits.apply(document, now);
         carryOut(controller.watch(places, now));
         agents.watch(plane.agentsOf(document));
     }
@@ -208,8 +213,7 @@
                 request.work().promptTokens());
         watch(id, exchange);
         control.execute(() -> {
-            callers.put(id, caller);
-            metrics.countRequest();
+            callers.add(id, caller);
             carryOut(controller.submit(request, ControlLoop.now()));
         });
     }
@@ -219,8 +223,7 @@
         Caller caller = new Caller(id, new CallerExchange(exchange), true, "", 0);
         watch(id, exchange);
         control.execute(() -> {
-            callers.put(id, caller);
-            metrics.countRequest();
+            callers.add(id, caller);
             carryOut(controller.resume(id, customer, last, ControlLoop.now()));
         });
     }
@@ -328,7 +331,7 @@
     }
 
     private void gone(RequestId id) {
-        if (callers.remove(id) != null) {
+        if (callers.remove(id)) {
             metrics.countGone();
             carryOut(controller.callerGone(id, ControlLoop.now()));
         }
@@ -364,6 +367,7 @@
     private void tick() {
         drain.tick(0);
         plane.tick(ControlLoop.now());
+        limits.tick(ControlLoop.now());
         carryOut(controller.tick(ControlLoop.now()));
         agents.tick(ControlLoop.now());
         openRequests = callers.size();
@@ -373,13 +377,7 @@
     private void carryOut(List<EntryAction> actions) {
         long now = ControlLoop.now();
         for (EntryAction action : actions) {
-            if (action instanceof EntryAction.Deliver a) {
-                Caller caller = callers.get(a.request());
-                if (caller != null) {
-                    metrics.countTokens(a.texts().size());
-                    caller.deliver(a);
-                }
-            } else if (action instanceof EntryAction.SendAck a) {
+            if (action instanceof EntryAction.SendAck a) {
                 agents.send(a.backend(), Messages.of(a));
             } else if (action instanceof EntryAction.SendReserve a) {
                 agents.send(a.backend(), Messages.of(a, now));
@@ -398,7 +396,7 @@
             } else if (action instanceof EntryAction.CallStore a) {
                 callStore(a.call());
             } else {
-                answer(action);
+                callers.carryOut(action);
             }
         }
     }
@@ -420,33 +418,6 @@
         }
     }
 
-    private void answer(EntryAction action) {
-        if (action instanceof EntryAction.Finish a) {
-            Caller caller = callers.remove(a.request());
-            if (caller != null) {
-                metrics.countFinished();
-                caller.finish(a);
-            }
-        } else if (action instanceof EntryAction.Answer a) {
-            Caller caller = callers.remove(a.request());
-            if (caller != null) {
-                metrics.countFinished();
-                caller.answer(a);
-            }
-        } else if (action instanceof EntryAction.Restart a) {
-            Caller caller = callers.get(a.request());
-            if (caller != null) {
-                caller.restart(a);
-            }
-        } else if (action instanceof EntryAction.Fail a) {
-            metrics.countError(a.kind());
-            Caller caller = callers.remove(a.request());
-            if (caller != null) {
-                caller.fail(a, ErrorAnswers.of(a.kind()).httpStatus());
-            }
-        }
-    }
-
     /** Carries out the decisions of the control plane. */
     private final class PlaneHost implements EntryPlane.Host {
         @Override
@@ -479,12 +450,16 @@
                 carryOut(controller.claims().forwarded(from, ClaimMessages.forward(m), now));
             } else if (message instanceof ClaimAnswer m) {
                 carryOut(controller.claims().answered(ClaimMessages.answer(m), now));
+            } else if (message instanceof LimitShare m) {
+                limits.received(from, m, now);
             }
         }
 
         @Override
         public void entriesChanged(List<NodeId> entries) {
-            carryOut(controller.claims().members(entries, ControlLoop.now()));
+            long now = ControlLoop.now();
+            limits.entries(entries, now);
+            carryOut(controller.claims().members(entries, now));
         }
 
         @Override
--- /dev/null
+++ b/daemon/src/main/java/io/hornbeamscale/daemon/control/CustomerLimits.java
@@ -0,0 +1,173 @@
+package io.hornbeamscale.daemon.control;
+
+import com.fasterxml.jackson.core.JsonProcessingException;
+import com.fasterxml.jackson.databind.ObjectMapper;
+import io.hornbeamscale.core.document.CustomerSpec;
+import io.hornbeamscale.core.document.Document;
+import io.hornbeamscale.core.error.ErrorKind;
+import io.hornbeamscale.core.error.ServingException;
+import io.hornbeamscale.core.id.CustomerId;
+import io.hornbeamscale.core.id.NodeId;
+import io.hornbeamscale.core.limit.CustomerLimit;
+import io.hornbeamscale.core.limit.CustomerLimiter;
+import io.hornbeamscale.core.limit.LimitCoordinator;
+import io.hornbeamscale.core.util.Arguments;
+import io.hornbeamscale.wire.message.LimitShare;
+import io.hornbeamscale.wire.message.Message;
+import java.util.ArrayList;
+import java.util.HashMap;
+import java.util.List;
+import java.util.Map;
+import java.util.function.BiConsumer;
+
+/**
+ * Exchanges demand and leases of customers' limits between entries. Each customer's coordinator is found by hashing
+ * over the live entries. Used on the control thread.
+ */
+public final class CustomerLimits {
+    private static final long LEASE_MILLIS = 6_000;
+    private static final long DEMAND_PERIOD_MILLIS = 2_000;
+    private static final String DEMAND = "demand";
+    private static final String LEASE = "lease";
+    private static final ObjectMapper JSON = new ObjectMapper();
+
+    private final NodeId self;
+    private final CustomerLimiter limiter;
+    private final BiConsumer<NodeId, Message> sender;
+    private final LimitCoordinator coordinator = new LimitCoordinator(LEASE_MILLIS);
+    private List<CustomerLimit> limits = List.of();
+    private List<NodeId> entries;
+    private long nextDemandMillis;
+
+    /**
+     * Creates the exchange of one entry.
+     *
+     * @param self the entry, not null
+     * @param limiter the limiter that admits the entry's requests, not null
+     * @param sender sends a message to another entry, not null
+     */
+    public CustomerLimits(NodeId self, CustomerLimiter limiter, BiConsumer<NodeId, Message> sender) {
+        this.self = Arguments.notNull(self, "self");
+        this.limiter = Arguments.notNull(limiter, "limiter");
+        this.sender = Arguments.notNull(sender, "sender");
+        this.entries = List.of(self);
+    }
+
+    /**
+     * Puts the limits of a document in force.
+     *
+     * @param document the document, not null
+     * @param nowMillis the present time
+     */
+    public void apply(Document document, long nowMillis) {
+        List<CustomerLimit> next = new ArrayList<>();
+        for (CustomerSpec c : document.customers()) {
+            next.add(new CustomerLimit(new CustomerId(c.name()), c.requestsPerSecond(), c.tokensPerSecond()));
+        }
+        limits = next;
+        coordinator.configure(limits);
+        limiter.configure(limits, entries.size(), nowMillis);
+    }
+
+    /**
+     * Handles a change of the live entries.
+     *
+     * @param live the live entries, with or without this one, not null
+     * @param nowMillis the present time
+     */
+    public void entries(List<NodeId> live, long nowMillis) {
+        List<NodeId> next = new ArrayList<>(live);
+        if (!next.contains(self)) {
+            next.add(self);
+        }
+        entries = List.copyOf(next);
+        for (CustomerLimit l : limits) {
+            if (!LimitCoordinator.isCoordinator(self, entries, l.customer())) {
+                coordinator.resign(l.customer());
+            }
+        }
+        limiter.configure(limits, entries.size(), nowMillis);
+    }
+
+    /**
+     * Sends the demand of the last period to the coordinators.
+     *
+     * @param nowMillis the present time
+     */
+    public void tick(long nowMillis) {
+        if (nowMillis < nextDemandMillis) {
+            return;
+        }
+        nextDemandMillis = nowMillis + DEMAND_PERIOD_MILLIS;
+        Map<NodeId, List<CustomerLimit>> demands = new HashMap<>();
+        for (CustomerLimit demand : limiter.demand(nowMillis)) {
+            demands.computeIfAbsent(coordinatorOf(demand.customer()), k -> new ArrayList<>())
+                    .add(demand);
+        }
+        demands.forEach((node, list) -> {
+            if (node.equals(self)) {
+                list.forEach(d ->
+                        limiter.leased(coordinator.lease(self, d, nowMillis), coordinator.leaseMillis(), nowMillis));
+            } else {
+                sender.accept(node, new LimitShare(DEMAND, write(list)));
+            }
+        });
+    }
+
+    /**
+     * Handles a message of another entry.
+     *
+     * @param from the other entry, not null
+     * @param message the message, not null
+     * @param nowMillis the present time
+     * @throws ServingException of kind {@link ErrorKind#BAD_FRAME} if the content is not a list of rates
+     */
+    public void received(NodeId from, LimitShare message, long nowMillis) {
+        List<CustomerLimit> rates = read(message.content());
+        if (message.kind().equals(LEASE)) {
+            rates.forEach(lease -> limiter.leased(lease, LEASE_MILLIS, nowMillis));
+        } else if (message.kind().equals(DEMAND)) {
+            List<CustomerLimit> leases = new ArrayList<>();
+            for (CustomerLimit demand : rates) {
+                if (LimitCoordinator.isCoordinator(self, entries, demand.customer())) {
+                    leases.add(coordinator.lease(from, demand, nowMillis));
+                }
+            }
+            sender.accept(from, new LimitShare(LEASE, write(leases)));
+        }
+    }
+
+    private NodeId coordinatorOf(CustomerId customer) {
+        for (NodeId entry : entries) {
+            if (LimitCoordinator.isCoordinator(entry, entries, customer)) {
+                return entry;
+            }
+        }
+        return self;
+    }
+
+    private static String write(List<CustomerLimit> rates) {
+        List<Rates> list = rates.stream()
+                .map(r -> new Rates(r.customer().value(), r.requestsPerSecond(), r.tokensPerSecond()))
+                .toList();
+        try {
+            return JSON.writeValueAsString(list);
+        } catch (JsonProcessingException e) {
+            throw new IllegalStateException("cannot write rates of customers", e);
+        }
+    }
+
+    private static List<CustomerLimit> read(String content) {
+        try {
+            List<CustomerLimit> list = new ArrayList<>();
+            for (Rates r : JSON.readValue(content, Rates[].class)) {
+                list.add(new CustomerLimit(new CustomerId(r.customer()), r.requests(), r.tokens()));
+            }
+            return list;
+        } catch (JsonProcessingException | IllegalArgumentException e) {
+            throw new ServingException(ErrorKind.BAD_FRAME, "rates of customers are malformed: " + e.getMessage());
+        }
+    }
+
+    private record Rates(String customer, double requests, double tokens) {}
+}
