Refuse requests that crash engines, at every entry

Cause: nothing in the daemons used the quarantine, so a request that crashes its engine could crash one engine for each attempt and each resend. Change: the agent lists the requests in flight at a crash in its status; the entry feeds the quarantine, refuses convicted requests with request_quarantined, tells the other entries and keeps convictions in the store. Messages of agents are handled in a class of their own (AgentMessages). Ruled out: counting every lost generation as a crash, since a restarted engine's new work would become suspect. Conclusion: the second crash convicts; suspects do not run alone yet.

--- a/daemon/src/main/java/io/hornbeamscale/daemon/AgentDaemon.java
+++ b/daemon/src/main/java/io/hornbeamscale/daemon/AgentDaemon.java
@@ -64,6 +64,7 @@
     private final AgentSettings settings;
     private final long incarnation = Incarnations.next();
     private final BackendId backend;
+    private final CrashReports crashes;
     private final MemoryScheduler scheduler;
     private final AgentController controller;
     private final ControlLoop control;
@@ -88,6 +89,7 @@
     AgentDaemon(AgentSettings settings) {
         this.settings = settings;
         this.backend = new BackendId(settings.backend());
+        this.crashes = new CrashReports(backend, incarnation);
         SchedulerConfig config = SchedulerConfig.builder(backend, incarnation)
                 .capacityTokens(settings.isPlain() ? 0 : settings.memoryTokens())
                 .maxRunning(settings.maxRunning())
@@ -193,6 +195,7 @@
     private void endCall(AttemptId attempt, ErrorKind kind, RunOutcome outcome, long now) {
         GenerationId generation = controller.generationOf(attempt);
         if (generation != null) {
+            crashes.ended(generation, now);
             CallState state = calls.remove(generation);
             engine.cancel(generation, state == null ? null : state.engineId);
             carryOut(controller.backendFailed(generation, kind, outcome, now));
@@ -220,7 +223,7 @@
         lastStatus = controller.status(now);
         if (now >= nextStatusMillis) {
             nextStatusMillis = now + StatusInterval.millis(entries.size());
-            Message status = Messages.of(lastStatus, configVersion);
+            Message status = Messages.of(lastStatus, configVersion, crashes.texts(now));
             entries.values().forEach(link -> link.send(status));
         }
         if (!settings.isPlain() && now >= nextLoadMillis) {
@@ -277,6 +280,7 @@
             if (action instanceof AgentAction.StartCall a) {
                 startCall(a);
             } else if (action instanceof AgentAction.CancelCall a) {
+                crashes.ended(a.generation(), ControlLoop.now());
                 CallState state = calls.remove(a.generation());
                 engine.cancel(a.generation(), state == null ? null : state.engineId);
             } else if (action instanceof AgentAction.ReattachCall a) {
@@ -296,6 +300,7 @@
         state.tag = a.generation().toString() + TAG_SEPARATOR + a.work().customer();
         calls.put(a.generation(), state);
         if (isModel) {
+            crashes.started(a, ControlLoop.now());
             engine.generate(a.generation(), state.tag, a.call());
         } else {
             engine.plain(a.generation(), a.call(), a.work().isRepeatable());
@@ -350,7 +355,7 @@
                 MessageCodec.PROTOCOL_VERSION,
                 configVersion,
                 Addresses.format(address)));
-        connection.send(Messages.of(controller.status(now), configVersion));
+        connection.send(Messages.of(controller.status(now), configVersion, crashes.texts(now)));
         LOG.info("Entry {} is connected.", entry);
     }
 
@@ -373,6 +378,7 @@
                     tryAgain(generation, state, "the engine refuses connections");
                 } else {
                     calls.remove(generation);
+                    crashes.ended(generation, ControlLoop.now());
                     carryOut(controller.notReached(generation, ControlLoop.now()));
                 }
             });
@@ -406,6 +412,7 @@
         public void ended(GenerationId generation, long totalTokens, String finishReason) {
             control.execute(() -> {
                 calls.remove(generation);
+                crashes.ended(generation, ControlLoop.now());
                 carryOut(controller.engineEnded(generation, totalTokens, finishReason, ControlLoop.now()));
             });
         }
@@ -423,8 +430,9 @@
         public void refused(GenerationId generation, int status) {
             control.execute(() -> {
                 CallState state = calls.remove(generation);
+                crashes.ended(generation, ControlLoop.now());
                 boolean isReattached = state != null && state.engineId != null;
-                ErrorKind kind = isReattached ? ErrorKind.GENERATION_LOST : kindOf(status);
+                ErrorKind kind = isReattached ? ErrorKind.GENERATION_LOST : EngineErrors.kindOf(status);
                 boolean mayHaveRun = isReattached || (status >= 500 && status != 503);
                 RunOutcome outcome = mayHaveRun ? RunOutcome.RAN : RunOutcome.NOT_RUN;
                 LOG.warn("The engine refused {} with status {}.", generation, status);
@@ -477,16 +485,10 @@
 
         private void lose(GenerationId generation, CallState state) {
             calls.remove(generation);
+            crashes.lost(generation, ControlLoop.now());
             ErrorKind kind = state.emitted > 0 ? ErrorKind.GENERATION_LOST : ErrorKind.BACKEND_FAILED;
             RunOutcome outcome = state.emitted > 0 ? RunOutcome.RAN : RunOutcome.UNKNOWN;
             carryOut(controller.backendFailed(generation, kind, outcome, ControlLoop.now()));
         }
-
-        private ErrorKind kindOf(int status) {
-            if (status == 429 || status == 503) {
-                return ErrorKind.OVERLOADED;
-            }
-            return status >= 400 && status < 500 ? ErrorKind.BAD_REQUEST : ErrorKind.BACKEND_FAILED;
-        }
     }
 }
--- a/daemon/src/main/java/io/hornbeamscale/daemon/Callers.java
+++ b/daemon/src/main/java/io/hornbeamscale/daemon/Callers.java
@@ -25,6 +25,10 @@
         return callers.remove(id) != null;
     }
 
+    boolean isWaiting(RequestId id) {
+        return callers.containsKey(id);
+    }
+
     int size() {
         return callers.size();
     }
--- a/daemon/src/main/java/io/hornbeamscale/daemon/EntryDaemon.java
+++ b/daemon/src/main/java/io/hornbeamscale/daemon/EntryDaemon.java
@@ -1,7 +1,6 @@
 package io.hornbeamscale.daemon;
 
 import io.hornbeamscale.core.claim.ClaimController;
-import io.hornbeamscale.core.claim.ClaimOwner;
 import io.hornbeamscale.core.claim.ClaimSettings;
 import io.hornbeamscale.core.dispatch.BackendPlace;
 import io.hornbeamscale.core.dispatch.DispatcherConfig;
@@ -20,13 +19,12 @@
 import io.hornbeamscale.core.error.ServingException;
 import io.hornbeamscale.core.id.BackendId;
 import io.hornbeamscale.core.id.CustomerId;
-import io.hornbeamscale.core.id.GenerationId;
-import io.hornbeamscale.core.id.GrantId;
 import io.hornbeamscale.core.id.NodeId;
 import io.hornbeamscale.core.id.RegionId;
 import io.hornbeamscale.core.id.RequestId;
 import io.hornbeamscale.core.id.ServiceId;
 import io.hornbeamscale.core.id.ZoneId;
+import io.hornbeamscale.core.quarantine.QuarantineController;
 import io.hornbeamscale.core.store.StoreCall;
 import io.hornbeamscale.core.store.StoreReply;
 import io.hornbeamscale.core.stream.EventId;
@@ -40,15 +38,11 @@
 import io.hornbeamscale.wire.FrameLoop;
 import io.hornbeamscale.wire.message.ClaimAnswer;
 import io.hornbeamscale.wire.message.ClaimForward;
-import io.hornbeamscale.wire.message.End;
-import io.hornbeamscale.wire.message.Failed;
-import io.hornbeamscale.wire.message.Grant;
 import io.hornbeamscale.wire.message.LimitShare;
 import io.hornbeamscale.wire.message.Message;
+import io.hornbeamscale.wire.message.Quarantine;
 import io.hornbeamscale.wire.message.Refuse;
-import io.hornbeamscale.wire.message.Revoked;
 import io.hornbeamscale.wire.message.Status;
-import io.hornbeamscale.wire.message.Tokens;
 import io.undertow.Undertow;
 import io.undertow.UndertowOptions;
 import io.undertow.server.HttpServerExchange;
@@ -61,6 +55,8 @@
 import java.util.SplittableRandom;
 import java.util.concurrent.CompletableFuture;
 import java.util.concurrent.CompletionStage;
+import java.util.concurrent.TimeUnit;
+import java.util.function.Consumer;
 import org.apache.logging.log4j.LogManager;
 import org.apache.logging.log4j.Logger;
 import org.xnio.Options;
@@ -70,6 +66,7 @@
     private static final Logger LOG = LogManager.getLogger("entry");
     private static final int HEADER_ROOM_BYTES = 1 << 20;
     private static final int IO_THREADS = 4;
+    private static final long CONVICTION_MILLIS = TimeUnit.DAYS.toMillis(1);
     private static final long CLAIM_RETENTION_MILLIS = LimitsSpec.defaults().claimRetentionMillis();
     private static final long EPOCH_OFFSET_MILLIS = System.currentTimeMillis() - ControlLoop.now();
 
@@ -84,6 +81,9 @@
     private final EntryMetrics metrics = new EntryMetrics();
     private final Callers callers = new Callers(metrics);
     private final CustomerLimits limits;
+    private final QuarantineGate quarantine;
+    private final AgentMessages agentMessages;
+    private List<NodeId> entries = List.of();
     private volatile RequestReader reader = new RequestReader(Document.empty());
     private volatile int openRequests;
     private volatile int knownAgents;
@@ -106,6 +106,7 @@
         this.controller = new EntryController(
                 dispatcher,
                 new ClaimController(new NodeId(settings.node()), claims, new SplittableRandom(incarnation)));
+        this.agentMessages = new AgentMessages(controller);
         this.platform = new PlatformIo(new SplittableRandom(incarnation + 1));
         this.store = settings.store() == null
                 ? null
@@ -120,6 +121,9 @@
         this.agents = new AgentLinks(settings.node(), incarnation, frames, control, this);
         this.limits = new CustomerLimits(
                 new NodeId(settings.node()), dispatcher.limits(), (node, m) -> plane.sendToEntry(node, m));
+        this.quarantine = new QuarantineGate(
+                new QuarantineController(CONVICTION_MILLIS, EPOCH_OFFSET_MILLIS, new SplittableRandom(incarnation + 2)),
+                new GateHost());
     }
 
     /** Starts the entry and returns the address for callers. */
@@ -214,7 +218,12 @@
         watch(id, exchange);
         control.execute(() -> {
             callers.add(id, caller);
-            carryOut(controller.submit(request, ControlLoop.now()));
+            long now = ControlLoop.now();
+            if (quarantine.admits(request, now)) {
+                carryOut(controller.submit(request, now));
+            } else {
+                callers.carryOut(new EntryAction.Fail(id, ErrorKind.REQUEST_QUARANTINED, RunOutcome.NOT_RUN, 0, 0));
+            }
         });
     }
 
@@ -276,42 +285,16 @@
     public void received(BackendId backend, Message message) {
         long now = ControlLoop.now();
         plane.received(backend, message);
-        if (message instanceof Tokens m) {
-            carryOut(controller
-                    .responses()
-                    .tokens(m.attemptId(), GenerationId.parse(m.generation()), m.offset(), m.texts(), now));
-        } else if (message instanceof Grant m) {
-            GrantId grant = new GrantId(m.incarnation(), m.sequence());
-            carryOut(controller.granted(backend, m.attemptId(), grant, m.validMillis(), now));
-        } else if (message instanceof Refuse m) {
-            ErrorKind kind = ErrorKind.ofCode(m.code());
-            if (kind == ErrorKind.DRAINING) {
-                plane.refusedForDraining(backend);
-            }
-            carryOut(controller.refused(backend, m.attemptId(), kind, m.retryAfterMillis(), now));
-        } else if (message instanceof End m) {
-            if (m.status() != 0) {
-                carryOut(controller.responses().answered(m.attemptId(), m.status(), m.headers(), m.body(), now));
-            } else {
-                carryOut(controller
-                        .responses()
-                        .ended(
-                                m.attemptId(),
-                                GenerationId.parse(m.generation()),
-                                m.totalTokens(),
-                                m.finishReason(),
-                                now));
-            }
-        } else if (message instanceof Failed m) {
-            RunOutcome outcome = Messages.outcome(m);
-            carryOut(controller.responses().failed(m.attemptId(), ErrorKind.ofCode(m.code()), outcome, now));
-        } else if (message instanceof Revoked m) {
-            ClaimOwner holder = new ClaimOwner(m.attemptId(), backend, new GrantId(m.incarnation(), m.sequence()));
-            carryOut(controller.claims().revoked(holder, Messages.state(m), Messages.result(m), now));
-        } else if (message instanceof Status m) {
+        if (message instanceof Refuse m && ErrorKind.ofCode(m.code()) == ErrorKind.DRAINING) {
+            plane.refusedForDraining(backend);
+        }
+        if (message instanceof Status m) {
             BackendStatus status = Messages.status(m);
             statuses.put(backend, status);
+            quarantine.reported(m.suspects(), now);
             carryOut(controller.status(plane.isLeaving(backend) ? EntryPlanes.leaving(status) : status, now));
+        } else {
+            carryOut(agentMessages.received(backend, message, now));
         }
     }
 
@@ -368,6 +351,7 @@
         drain.tick(0);
         plane.tick(ControlLoop.now());
         limits.tick(ControlLoop.now());
+        quarantine.tick(callers::isWaiting, ControlLoop.now());
         carryOut(controller.tick(ControlLoop.now()));
         agents.tick(ControlLoop.now());
         openRequests = callers.size();
@@ -394,19 +378,21 @@
             } else if (action instanceof EntryAction.SendClaimAnswer a) {
                 plane.sendToEntry(a.entry(), ClaimMessages.of(a.answer()));
             } else if (action instanceof EntryAction.CallStore a) {
-                callStore(a.call());
+                callStore(a.call(), r -> carryOut(controller.claims().storeReplied(a.call(), r, ControlLoop.now())));
             } else {
+                if (action instanceof EntryAction.Finish a) {
+                    quarantine.completed(a.request(), now);
+                }
                 callers.carryOut(action);
             }
         }
     }
 
-    private void callStore(StoreCall call) {
+    private void callStore(StoreCall call, Consumer<StoreReply> then) {
         CompletionStage<StoreReply> reply = store == null
                 ? CompletableFuture.completedStage(new StoreReply.NoAnswer(call.key()))
                 : store.execute(call).exceptionally(e -> StoreLogs.failed(call, e));
-        var unused = reply.thenAccept(r ->
-                control.execute(() -> carryOut(controller.claims().storeReplied(call, r, ControlLoop.now()))));
+        var unused = reply.thenAccept(r -> control.execute(() -> then.accept(r)));
     }
 
     private void start(EntryAction.SendStart a, long now) {
@@ -418,6 +404,30 @@
         }
     }
 
+    /** Carries out the decisions about requests that crash engines. */
+    private final class GateHost implements QuarantineGate.Host {
+        @Override
+        public void callStore(StoreCall call) {
+            EntryDaemon.this.callStore(call, r -> quarantine.storeReplied(call, r, ControlLoop.now()));
+        }
+
+        @Override
+        public void sendPeers(Message message) {
+            for (NodeId entry : entries) {
+                if (!entry.value().equals(settings.node())) {
+                    plane.sendToEntry(entry, message);
+                }
+            }
+        }
+
+        @Override
+        public void refuse(RequestId request) {
+            LOG.warn("Request {} crashed several engines and is refused.", request);
+            long now = ControlLoop.now();
+            carryOut(controller.responses().giveUp(request, ErrorKind.REQUEST_QUARANTINED, RunOutcome.RAN, 0, now));
+        }
+    }
+
     /** Carries out the decisions of the control plane. */
     private final class PlaneHost implements EntryPlane.Host {
         @Override
@@ -452,14 +462,17 @@
                 carryOut(controller.claims().answered(ClaimMessages.answer(m), now));
             } else if (message instanceof LimitShare m) {
                 limits.received(from, m, now);
+            } else if (message instanceof Quarantine m) {
+                quarantine.received(m, now);
             }
         }
 
         @Override
-        public void entriesChanged(List<NodeId> entries) {
+        public void entriesChanged(List<NodeId> live) {
             long now = ControlLoop.now();
-            limits.entries(entries, now);
-            carryOut(controller.claims().members(entries, now));
+            entries = List.copyOf(live);
+            limits.entries(live, now);
+            carryOut(controller.claims().members(live, now));
         }
 
         @Override
--- a/daemon/src/main/java/io/hornbeamscale/daemon/Messages.java
+++ b/daemon/src/main/java/io/hornbeamscale/daemon/Messages.java
@@ -187,7 +187,7 @@
         return null;
     }
 
-    static Status of(BackendStatus status, long configVersion) {
+    static Status of(BackendStatus status, long configVersion, List<String> suspects) {
         return new Status(
                 status.backend().value(),
                 status.incarnation(),
@@ -199,7 +199,7 @@
                 status.tokenGapMillis(),
                 status.isDraining(),
                 configVersion,
-                List.of(),
+                suspects,
                 List.copyOf(status.cachedPrefixes()));
     }
 
