--- a/core/src/main/java/io/hornbeamscale/core/schedule/MemoryScheduler.java
+++ b/core/src/main/java/io/hornbeamscale/core/schedule/MemoryScheduler.java
@@ -50,6 +50,9 @@
     private double serviceMean;
     private double waitingShortTokens;
     private long grants;
+    /** Suspects that are granted or run. */
+    private int suspects;
+
     private long orders;
     private boolean isDraining;
 
@@ -135,7 +138,7 @@
 
     /** Returns the most urgent reservation that fits, or null. */
     private QueuedWork next(long nowMillis) {
-        List<QueuedWork> heads = waiting.heads();
+        List<QueuedWork> heads = waiting.heads(q -> !isBesideSuspect(q));
         heads.sort(Comparator.comparingDouble(MemoryScheduler::urgency).thenComparingLong(q -> q.order));
         boolean isHeldBack = false;
         for (QueuedWork q : heads) {
@@ -147,6 +150,11 @@
         return null;
     }
 
+    /** Two suspects never share an engine, so that a second crash tells which of them caused it. */
+    private boolean isBesideSuspect(QueuedWork q) {
+        return suspects > 0 && q.reservation.work().isSuspect();
+    }
+
     private static double urgency(QueuedWork q) {
         WorkItem w = q.reservation.work();
         long penalty = q.isLong ? LONG_PENALTY_MILLIS : 0;
@@ -162,6 +170,7 @@
         charge(h, h.promptTokens);
         hold(h, h.charged);
         memory.add(h);
+        suspects += r.work().isSuspect() ? 1 : 0;
         return new ScheduleAction.SendGrant(r.entry(), r.attempt(), grant, config.grantMillis());
     }
 
@@ -187,6 +196,7 @@
     private HeldWork release(AttemptId attempt) {
         HeldWork h = memory.remove(attempt);
         if (h != null) {
+            suspects -= h.reservation.work().isSuspect() ? 1 : 0;
             hold(h, -h.charged);
             charge(h, h.isStarted ? 0 : -h.promptTokens);
             counters.forget(h.reservation.work().customer());
--- a/core/src/main/java/io/hornbeamscale/core/schedule/WaitQueue.java
+++ b/core/src/main/java/io/hornbeamscale/core/schedule/WaitQueue.java
@@ -8,8 +8,10 @@
 import java.util.HashMap;
 import java.util.List;
 import java.util.Map;
+import java.util.SortedSet;
 import java.util.TreeMap;
 import java.util.TreeSet;
+import java.util.function.Predicate;
 
 /**
  * Waiting reservations in lanes by priority and learned length. Within a lane, the customer with the least counter goes
@@ -61,25 +63,39 @@
         return q;
     }
 
-    /** Returns the first reservation of each lane, never null. */
-    List<QueuedWork> heads() {
+    /** Returns the first eligible reservation of each lane that has one, never null. */
+    List<QueuedWork> heads(Predicate<QueuedWork> isEligible) {
         List<QueuedWork> heads = new ArrayList<>(lanes.size());
         for (Map<CustomerId, TreeSet<QueuedWork>> lane : lanes.values()) {
             QueuedWork best = null;
             double least = Double.MAX_VALUE;
             for (Map.Entry<CustomerId, TreeSet<QueuedWork>> e : lane.entrySet()) {
                 double value = counters.value(e.getKey());
-                QueuedWork first = e.getValue().first();
+                QueuedWork first = first(e.getValue(), isEligible);
+                if (first == null) {
+                    continue;
+                }
                 if (best == null || value < least || (value == least && BY_RANK.compare(first, best) < 0)) {
                     best = first;
                     least = value;
                 }
             }
-            heads.add(best);
+            if (best != null) {
+                heads.add(best);
+            }
         }
         return heads;
     }
 
+    private static QueuedWork first(SortedSet<QueuedWork> works, Predicate<QueuedWork> isEligible) {
+        for (QueuedWork work : works) {
+            if (isEligible.test(work)) {
+                return work;
+            }
+        }
+        return null;
+    }
+
     /**
      * Returns the expected output of what goes before a reservation: higher lanes, and of its own lane what its
      * customer has to wait for if the lane is shared fairly.
--- a/core/src/main/java/io/hornbeamscale/core/work/WorkItem.java
+++ b/core/src/main/java/io/hornbeamscale/core/work/WorkItem.java
@@ -98,4 +98,30 @@
                 isSuspect,
                 "");
     }
+
+    /**
+     * Returns this work marked as a suspect.
+     *
+     * @return a copy, or this work if it is a suspect already
+     */
+    public WorkItem asSuspect() {
+        if (isSuspect) {
+            return this;
+        }
+        return new WorkItem(
+                request,
+                service,
+                customer,
+                kind,
+                priority,
+                promptTokens,
+                maxTokens,
+                prefixHashes,
+                arrivedMillis,
+                deadlineMillis,
+                isRepeatable,
+                isPlain,
+                true,
+                model);
+    }
 }
--- a/core/src/test/java/io/hornbeamscale/core/schedule/SchedulingOrderTest.java
+++ b/core/src/test/java/io/hornbeamscale/core/schedule/SchedulingOrderTest.java
@@ -125,4 +125,29 @@
         use.report(new EngineLoad(2_500, 50_500, 5, 0));
         assertEquals(0, use.tokens(2_500), 1);
     }
+
+    /** Guards against a crash that two suspects could have caused, which would convict neither or both. */
+    @Test
+    void onlyOneSuspectRunsAtATime() {
+        MemoryScheduler wide = new MemoryScheduler(SchedulerConfig.builder(new BackendId("b"), 1)
+                .capacityTokens(100_000)
+                .maxRunning(8)
+                .build());
+        Reservation first = suspect(reservation(700, "a", "short", 5, now));
+        Reservation second = suspect(reservation(701, "b", "short", 5, now));
+        assertEquals(1, wide.reserve(first, now).size());
+        assertEquals(0, wide.reserve(second, now).size());
+        assertEquals(
+                1, wide.reserve(reservation(702, "c", "short", 5, now), now).size());
+        SendGrant next = (SendGrant) wide.cancel(first.attempt(), now).get(0);
+        assertEquals(second.attempt(), next.attempt());
+        assertEquals(
+                0,
+                wide.reserve(suspect(reservation(703, "a", "short", 5, now)), now)
+                        .size());
+    }
+
+    private static Reservation suspect(Reservation r) {
+        return new Reservation(r.attempt(), r.entry(), r.work().asSuspect());
+    }
 }
--- a/daemon/src/main/java/io/hornbeamscale/daemon/AgentDaemon.java
+++ b/daemon/src/main/java/io/hornbeamscale/daemon/AgentDaemon.java
@@ -174,6 +174,12 @@
         }
     }
 
+    private void sendStatus(long now) {
+        nextStatusMillis = now + StatusInterval.millis(entries.size());
+        Message status = Messages.of(controller.status(now), configVersion, crashes.texts(now));
+        entries.values().forEach(link -> link.send(status));
+    }
+
     private List<RunningWork> runningWork() {
         return controller.running();
     }
@@ -222,9 +228,7 @@
         newestVersion = plane.newestKnown();
         lastStatus = controller.status(now);
         if (now >= nextStatusMillis) {
-            nextStatusMillis = now + StatusInterval.millis(entries.size());
-            Message status = Messages.of(lastStatus, configVersion, crashes.texts(now));
-            entries.values().forEach(link -> link.send(status));
+            sendStatus(now);
         }
         if (!settings.isPlain() && now >= nextLoadMillis) {
             nextLoadMillis = now + LOAD_MILLIS;
@@ -485,7 +489,8 @@
 
         private void lose(GenerationId generation, CallState state) {
             calls.remove(generation);
-            crashes.lost(generation, ControlLoop.now());
+            // The entries must know the suspects before they run the lost requests elsewhere.
+            crashes.lost(generation, ControlLoop.now(), AgentDaemon.this::sendStatus);
             ErrorKind kind = state.emitted > 0 ? ErrorKind.GENERATION_LOST : ErrorKind.BACKEND_FAILED;
             RunOutcome outcome = state.emitted > 0 ? RunOutcome.RAN : RunOutcome.UNKNOWN;
             carryOut(controller.backendFailed(generation, kind, outcome, ControlLoop.now()));
--- a/daemon/src/main/java/io/hornbeamscale/daemon/CrashReports.java
+++ b/daemon/src/main/java/io/hornbeamscale/daemon/CrashReports.java
@@ -14,6 +14,7 @@
 import java.util.List;
 import java.util.Map;
 import java.util.Set;
+import java.util.function.LongConsumer;
 
 /** An agent's record of the generations that were in flight when its engine crashed. Used on the control thread. */
 final class CrashReports {
@@ -42,12 +43,13 @@
 
     /**
      * Notes that the engine no longer has a generation that it was running. Only the first loss after a crash counts:
-     * generations that the restarted engine runs by then were not in flight at the crash.
+     * generations that the restarted engine runs by then were not in flight at the crash. The consumer is told the
+     * time of a loss that counts.
      */
-    void lost(GenerationId generation, long nowMillis) {
+    void lost(GenerationId generation, long nowMillis, LongConsumer onCrash) {
         if (inFlight.contains(generation)) {
             inFlight.clear();
-            var unused = log.crashed(nowMillis);
+            log.crashed(nowMillis).ifPresent(report -> onCrash.accept(nowMillis));
         }
     }
 
--- a/daemon/src/main/java/io/hornbeamscale/daemon/EntryDaemon.java
+++ b/daemon/src/main/java/io/hornbeamscale/daemon/EntryDaemon.java
@@ -29,6 +29,7 @@
 import io.hornbeamscale.core.store.StoreReply;
 import io.hornbeamscale.core.stream.EventId;
 import io.hornbeamscale.core.work.BackendStatus;
+import io.hornbeamscale.core.work.WorkItem;
 import io.hornbeamscale.daemon.control.CustomerLimits;
 import io.hornbeamscale.daemon.control.EntryPlane;
 import io.hornbeamscale.platform.CallPolicy;
@@ -364,7 +365,9 @@
             if (action instanceof EntryAction.SendAck a) {
                 agents.send(a.backend(), Messages.of(a));
             } else if (action instanceof EntryAction.SendReserve a) {
-                agents.send(a.backend(), Messages.of(a, now));
+                WorkItem work = quarantine.mark(a.work(), now);
+                EntryAction.SendReserve marked = new EntryAction.SendReserve(a.backend(), a.attempt(), work);
+                agents.send(a.backend(), Messages.of(marked, now));
             } else if (action instanceof EntryAction.SendCancel a) {
                 agents.send(a.backend(), Messages.of(a));
             } else if (action instanceof EntryAction.SendStart a) {
--- a/daemon/src/main/java/io/hornbeamscale/daemon/QuarantineGate.java
+++ b/daemon/src/main/java/io/hornbeamscale/daemon/QuarantineGate.java
@@ -15,6 +15,7 @@
 import io.hornbeamscale.core.quarantine.Verdict;
 import io.hornbeamscale.core.store.StoreCall;
 import io.hornbeamscale.core.store.StoreReply;
+import io.hornbeamscale.core.work.WorkItem;
 import io.hornbeamscale.wire.message.Message;
 import io.hornbeamscale.wire.message.Quarantine;
 import java.util.HashMap;
@@ -52,6 +53,13 @@
         return true;
     }
 
+    /** Returns the work as it is reserved now: marked if the request was in flight at a crash. */
+    WorkItem mark(WorkItem work, long nowMillis) {
+        RequestFingerprint fingerprint = open.get(work.request());
+        boolean isSuspect = fingerprint != null && controller.check(fingerprint, nowMillis) != Verdict.CLEAR;
+        return isSuspect ? work.asSuspect() : work;
+    }
+
     /** Notes a complete response, which clears the request. */
     void completed(RequestId request, long nowMillis) {
         RequestFingerprint fingerprint = open.remove(request);
--- a/daemon/src/test/java/io/hornbeamscale/daemon/QuarantineGateTest.java
+++ b/daemon/src/test/java/io/hornbeamscale/daemon/QuarantineGateTest.java
@@ -72,7 +72,9 @@
             generations.add(generation);
             reports.started(new AgentAction.StartCall(generation, r.work(), r.call()), now);
         }
-        generations.forEach(g -> reports.lost(g, now));
+        List<Long> crashes = new ArrayList<>();
+        generations.forEach(g -> reports.lost(g, now, crashes::add));
+        assertEquals(1, crashes.size(), "one crash, however many generations are lost");
         now += 10;
         first.gate.reported(reports.texts(now), now);
         first.gate.reported(reports.texts(now), now);
@@ -89,6 +91,9 @@
             assertTrue(first.gate.admits(poison, now));
             crash("runner-1", poison, other);
             assertTrue(first.gate.admits(poison, now), "one crash convicts nobody");
+            assertTrue(first.gate.mark(poison.work(), now).isSuspect());
+            assertTrue(first.gate.admits(third, now));
+            assertFalse(first.gate.mark(third.work(), now).isSuspect());
             crash("runner-2", poison, third);
             assertEquals(List.of(new RequestId("r1")), first.refused);
             assertFalse(first.gate.admits(request("r4", "poison"), now), "a resend is refused");
