--- a/core/src/main/java/io/hornbeamscale/core/document/package-info.java
+++ b/core/src/main/java/io/hornbeamscale/core/document/package-info.java
@@ -1,2 +1,2 @@
-/** The operators' document: the whole truth of what should run. */
+/** The operators' document: the desired state of all services. */
 package io.hornbeamscale.core.document;
