--- a/daemon/src/main/java/io/hornbeamscale/daemon/Main.java
+++ b/daemon/src/main/java/io/hornbeamscale/daemon/Main.java
@@ -13,6 +13,20 @@
     /** The exit status after wrong arguments or settings. */
     static final int BAD_USAGE = 2;
 
+    /** The text for {@code --help} without a subcommand. */
+    static final String USAGE = """
+            Usage: hornbeamscale COMMAND [options]
+
+              entry    accept callers and hand their requests to agents
+              agent    run requests on the backend server beside it
+              config   get, validate, compare, publish and roll back the document
+              status   show the state of running processes
+              demo     run two small deployments on this machine
+              measure  run scheduling scenarios on a manual clock
+
+            COMMAND --help shows the options of a command.
+            """;
+
     private Main() {}
 
     /**
@@ -29,6 +43,10 @@
 
     /** Runs a subcommand and returns the exit status. */
     static int run(String... args) {
+        if (args.length == 1 && args[0].equals("--help")) {
+            System.out.print(USAGE);
+            return 0;
+        }
         if (args.length > 0 && args[0].equals("config")) {
             return ConfigCommand.run(Arrays.copyOfRange(args, 1, args.length), System.out, System.err);
         }
--- /dev/null
+++ b/daemon/src/test/java/io/hornbeamscale/daemon/MainTest.java
@@ -0,0 +1,30 @@
+package io.hornbeamscale.daemon;
+
+import static org.junit.jupiter.api.Assertions.assertEquals;
+
+import org.approvaltests.Approvals;
+import org.approvaltests.core.Options;
+import org.approvaltests.reporters.QuietReporter;
+import org.junit.jupiter.api.Nested;
+import org.junit.jupiter.api.Test;
+
+/** Guards against a program that does not list its commands, or that ends with 0 after wrong arguments. */
+class MainTest {
+    @Nested
+    class Help {
+        @Test
+        void listsTheCommands() {
+            assertEquals(0, Main.run("--help"));
+            Approvals.verify(Main.USAGE, new Options(new QuietReporter()));
+        }
+    }
+
+    @Nested
+    class WrongArguments {
+        @Test
+        void endWithTheStatusOfBadUsage() {
+            assertEquals(Main.BAD_USAGE, Main.run("unknown"));
+            assertEquals(Main.BAD_USAGE, Main.run("entry"));
+        }
+    }
+}
