--- a/console/src/main/java/io/hornbeamscale/console/ConsoleHandler.java
+++ b/console/src/main/java/io/hornbeamscale/console/ConsoleHandler.java
@@ -2,7 +2,7 @@
 
 import io.hornbeamscale.core.error.ErrorKind;
 import io.hornbeamscale.core.util.Arguments;
-import io.hornbeamscale.platform.KeyValueStore;
+import io.hornbeamscale.external.KeyValueStore;
 import io.undertow.server.HttpHandler;
 import io.undertow.server.HttpServerExchange;
 import io.undertow.server.RequestTooBigException;
--- a/console/src/main/java/io/hornbeamscale/console/StoreClient.java
+++ b/console/src/main/java/io/hornbeamscale/console/StoreClient.java
@@ -4,7 +4,7 @@
 import io.hornbeamscale.core.store.StoreCall;
 import io.hornbeamscale.core.store.StoreReply;
 import io.hornbeamscale.core.util.Arguments;
-import io.hornbeamscale.platform.KeyValueStore;
+import io.hornbeamscale.external.KeyValueStore;
 import java.util.concurrent.ExecutionException;
 import java.util.concurrent.TimeUnit;
 import java.util.concurrent.TimeoutException;
--- a/console/src/test/java/io/hornbeamscale/console/ConsoleClient.java
+++ b/console/src/test/java/io/hornbeamscale/console/ConsoleClient.java
@@ -6,7 +6,7 @@
 import io.hornbeamscale.core.audit.TrailLimits;
 import io.hornbeamscale.core.document.Document;
 import io.hornbeamscale.core.document.DocumentYaml;
-import io.hornbeamscale.platform.FakeKeyValueStore;
+import io.hornbeamscale.external.FakeKeyValueStore;
 import java.io.IOException;
 import java.io.UncheckedIOException;
 import java.nio.file.Files;
--- a/console/src/test/java/io/hornbeamscale/console/ConsoleHandlerTest.java
+++ b/console/src/test/java/io/hornbeamscale/console/ConsoleHandlerTest.java
@@ -3,7 +3,7 @@
 import static org.junit.jupiter.api.Assertions.assertEquals;
 import static org.junit.jupiter.api.Assertions.assertTrue;
 
-import io.hornbeamscale.platform.FakeKeyValueStore;
+import io.hornbeamscale.external.FakeKeyValueStore;
 import io.undertow.Undertow;
 import java.net.InetSocketAddress;
 import java.net.URI;
--- /dev/null
+++ b/core/src/main/java/io/hornbeamscale/core/fleet/FleetSnapshot.java
@@ -0,0 +1,72 @@
+package io.hornbeamscale.core.fleet;
+
+import io.hornbeamscale.core.blackboard.BlackboardKey;
+import java.util.ArrayList;
+import java.util.Collection;
+import java.util.Comparator;
+import java.util.HashMap;
+import java.util.List;
+import java.util.Map;
+import java.util.Optional;
+
+/** All backend servers that an entry knows at one moment. Immutable. */
+public final class FleetSnapshot {
+    /** Where the present snapshot stands on the blackboard. */
+    public static final BlackboardKey<FleetSnapshot> KEY = new BlackboardKey<>("fleet", FleetSnapshot.class);
+
+    /** The snapshot without servers. */
+    public static final FleetSnapshot EMPTY = new FleetSnapshot(List.of());
+
+    private final Map<String, FleetServer> byId;
+    private final Map<String, List<FleetServer>> readyByService;
+
+    /**
+     * Creates a snapshot.
+     *
+     * @param servers the servers, with distinct ids, not null
+     */
+    public FleetSnapshot(Collection<FleetServer> servers) {
+        Map<String, FleetServer> ids = new HashMap<>();
+        Map<String, List<FleetServer>> ready = new HashMap<>();
+        for (FleetServer server : servers) {
+            ids.put(server.id(), server);
+            if (server.isReady()) {
+                ready.computeIfAbsent(server.record().service(), k -> new ArrayList<>())
+                        .add(server);
+            }
+        }
+        ready.replaceAll((service, list) ->
+                list.stream().sorted(Comparator.comparing(FleetServer::id)).toList());
+        byId = Map.copyOf(ids);
+        readyByService = Map.copyOf(ready);
+    }
+
+    /**
+     * Returns the servers of a service that take requests.
+     *
+     * @param service the name of the service, not null
+     * @return the servers in the order of their ids, never null
+     */
+    public List<FleetServer> ready(String service) {
+        return readyByService.getOrDefault(service, List.of());
+    }
+
+    /**
+     * Finds a server.
+     *
+     * @param id the id, not null
+     * @return the server, empty if it is unknown
+     */
+    public Optional<FleetServer> server(String id) {
+        return Optional.ofNullable(byId.get(id));
+    }
+
+    /**
+     * Returns all servers.
+     *
+     * @return the servers, in no particular order, never null
+     */
+    public Collection<FleetServer> all() {
+        return byId.values();
+    }
+}
--- /dev/null
+++ b/core/src/main/java/io/hornbeamscale/core/limit/RepeatAllowance.java
@@ -0,0 +1,116 @@
+package io.hornbeamscale.core.limit;
+
+import io.hornbeamscale.core.util.Arguments;
+import java.util.HashMap;
+import java.util.Map;
+
+/**
+ * Allows each service a number of repeated sends within a sliding window: a share of the requests for it plus this
+ * entry's part of a fixed slack. The sum over all entries stays within the sites' total without any exchange, since
+ * every entry counts only its own requests. Not safe for use by several threads.
+ */
+public final class RepeatAllowance {
+    /** How finely the window is divided. */
+    private static final int BUCKETS = 40;
+
+    private final double ratio;
+    private final long bucketMillis;
+    private final double slack;
+    private int entries = 1;
+    private final Map<String, Window> windows = new HashMap<>();
+
+    /**
+     * Creates an allowance.
+     *
+     * @param ratio the repeats allowed for each request, from 0 to 1
+     * @param windowMillis the length of the window, in milliseconds
+     * @param slack the repeats that all entries together may add in a window
+     */
+    public RepeatAllowance(double ratio, long windowMillis, double slack) {
+        this.ratio = Arguments.inRange(ratio, 0, 1, "ratio");
+        this.bucketMillis = Math.max(1, Arguments.positive(windowMillis, "windowMillis") / BUCKETS);
+        this.slack = slack;
+    }
+
+    /**
+     * Sets how many entries share the slack.
+     *
+     * @param count the number of entries, at least 1
+     */
+    public void setEntries(int count) {
+        entries = (int) Arguments.positive(count, "count");
+    }
+
+    /**
+     * Counts a request.
+     *
+     * @param service the service that it goes to, not null
+     * @param nowMillis the present time
+     */
+    public void request(String service, long nowMillis) {
+        window(service, nowMillis).addRequest();
+    }
+
+    /**
+     * Takes one repeat if it is within the allowance.
+     *
+     * @param service the service, not null
+     * @param nowMillis the present time
+     * @return whether the repeat may be sent
+     */
+    public boolean tryRepeat(String service, long nowMillis) {
+        Window window = window(service, nowMillis);
+        if (window.repeats + 1 > ratio * window.requests + slack / entries) {
+            return false;
+        }
+        window.addRepeat();
+        return true;
+    }
+
+    /**
+     * Counts a repeat that has to be sent whatever the allowance says, such as the continuation of a stream.
+     *
+     * @param service the service, not null
+     * @param nowMillis the present time
+     */
+    public void forceRepeat(String service, long nowMillis) {
+        window(service, nowMillis).addRepeat();
+    }
+
+    private Window window(String service, long nowMillis) {
+        Window window = windows.computeIfAbsent(service, k -> new Window());
+        window.advance(Math.floorDiv(nowMillis, bucketMillis));
+        return window;
+    }
+
+    /** The counts of one service; one bucket more than the window has, so that any span of its length is covered. */
+    private static final class Window {
+        private final int[] requestsIn = new int[BUCKETS + 1];
+        private final int[] repeatsIn = new int[BUCKETS + 1];
+        private long newest = Long.MIN_VALUE;
+        private int requests;
+        private int repeats;
+
+        void advance(long bucket) {
+            long first = Math.max(newest + 1, bucket - BUCKETS);
+            for (long each = first; each <= bucket; each++) {
+                int index = Math.floorMod(each, BUCKETS + 1);
+                requests -= requestsIn[index];
+                repeats -= repeatsIn[index];
+                requestsIn[index] = 0;
+                repeatsIn[index] = 0;
+            }
+            newest = Math.max(newest, bucket);
+        }
+
+        void addRequest() {
+            requests++;
+            requestsIn[Math.floorMod(newest, BUCKETS + 1)]++;
+        }
+
+        void addRepeat() {
+            repeats++;
+            repeatsIn[Math.floorMod(newest, BUCKETS + 1)]++;
+        }
+    }
+}
--- /dev/null
+++ b/core/src/main/java/io/hornbeamscale/core/placement/Distance.java
@@ -0,0 +1,31 @@
+package io.hornbeamscale.core.placement;
+
+import io.hornbeamscale.core.util.Arguments;
+import java.util.Map;
+
+/** How far an availability zone is from the entry's own. */
+public enum Distance {
+    /** The same availability zone. */
+    SAME_ZONE,
+    /** Another availability zone of the same region. */
+    SAME_REGION,
+    /** Another region. */
+    OTHER_REGION;
+
+    /**
+     * Compares two availability zones.
+     *
+     * @param own the first zone, not null
+     * @param other the second zone, not null
+     * @param regions the region of each zone, not null
+     * @return the distance, never null
+     */
+    public static Distance between(String own, String other, Map<String, String> regions) {
+        Arguments.notNull(own, "own");
+        if (own.equals(other)) {
+            return SAME_ZONE;
+        }
+        String region = regions.get(own);
+        return region != null && region.equals(regions.get(other)) ? SAME_REGION : OTHER_REGION;
+    }
+}
--- /dev/null
+++ b/core/src/main/java/io/hornbeamscale/core/placement/HealthBook.java
@@ -0,0 +1,143 @@
+package io.hornbeamscale.core.placement;
+
+import java.util.HashMap;
+import java.util.Map;
+
+/**
+ * How well backend servers have answered this entry. A server that cannot be reached, or that fails several times in a
+ * row, is set aside for a while; after that a single request tries it again. Health checks are not used: they cost the
+ * server a slot, and faulty servers can pass them. Not safe for use by several threads.
+ */
+public final class HealthBook {
+    /** The weight of one outcome in the moving averages; about the last ten outcomes count. */
+    private static final double WEIGHT = 0.1;
+
+    /** Failures in a row after which a server is set aside. */
+    private static final int STREAK = 3;
+
+    /** How long a server is first set aside, in milliseconds; doubled with every further failure. */
+    private static final long FIRST_ASIDE_MILLIS = 500;
+
+    /** The longest time that a server is set aside, in milliseconds. */
+    private static final long MAX_ASIDE_MILLIS = 4_000;
+
+    private static final int MAX_DOUBLINGS = 3;
+
+    private final Map<String, Health> servers = new HashMap<>();
+
+    /**
+     * Notes a response that the server made, whatever its status.
+     *
+     * @param server the id of the server, not null
+     * @param isFailure whether the response reports a failure of the server
+     * @param millis the time from sending to the response, in milliseconds
+     */
+    public void answered(String server, boolean isFailure, long millis) {
+        Health health = of(server);
+        health.failureRate += WEIGHT * ((isFailure ? 1 : 0) - health.failureRate);
+        health.millis = health.millis < 0 ? millis : health.millis + WEIGHT * (millis - health.millis);
+        health.streak = 0;
+        health.asideUntil = Long.MIN_VALUE;
+    }
+
+    /**
+     * Notes that the server broke off, was silent or could not be understood.
+     *
+     * @param server the id of the server, not null
+     * @param nowMillis the present time
+     */
+    public void broke(String server, long nowMillis) {
+        Health health = of(server);
+        health.failureRate += WEIGHT * (1 - health.failureRate);
+        health.streak++;
+        if (health.streak >= STREAK) {
+            setAside(health, health.streak - STREAK, nowMillis);
+        }
+    }
+
+    /**
+     * Notes that no connection to the server could be opened.
+     *
+     * @param server the id of the server, not null
+     * @param nowMillis the present time
+     */
+    public void unreachable(String server, long nowMillis) {
+        Health health = of(server);
+        health.streak++;
+        setAside(health, health.streak - 1, nowMillis);
+    }
+
+    /**
+     * Returns whether requests may go to a server. When the time that it is set aside ends, one request may try it, and
+     * the others keep away until that one has ended or some time has passed.
+     *
+     * @param server the id of the server, not null
+     * @param nowMillis the present time
+     * @return whether the server is not set aside
+     */
+    public boolean isUsable(String server, long nowMillis) {
+        Health health = servers.get(server);
+        return health == null || nowMillis >= health.asideUntil;
+    }
+
+    /**
+     * Notes that a request was sent to a server.
+     *
+     * @param server the id of the server, not null
+     * @param nowMillis the present time
+     */
+    public void sent(String server, long nowMillis) {
+        Health health = servers.get(server);
+        if (health != null && health.streak >= STREAK) {
+            health.asideUntil = nowMillis + FIRST_ASIDE_MILLIS;
+        }
+    }
+
+    /**
+     * Returns the share of recent requests that failed.
+     *
+     * @param server the id of the server, not null
+     * @return the share, from 0 to 1
+     */
+    public double failureRate(String server) {
+        Health health = servers.get(server);
+        return health == null ? 0 : health.failureRate;
+    }
+
+    /**
+     * Returns how long the server recently took to answer.
+     *
+     * @param server the id of the server, not null
+     * @param unknown the value for a server that has not answered yet
+     * @return the moving average, in milliseconds
+     */
+    public double answerMillis(String server, double unknown) {
+        Health health = servers.get(server);
+        return health == null || health.millis < 0 ? unknown : health.millis;
+    }
+
+    /**
+     * Forgets a server.
+     *
+     * @param server the id of the server, not null
+     */
+    public void forget(String server) {
+        servers.remove(server);
+    }
+
+    private static void setAside(Health health, int further, long nowMillis) {
+        long millis = FIRST_ASIDE_MILLIS << Math.min(MAX_DOUBLINGS, Math.max(0, further));
+        health.asideUntil = nowMillis + Math.min(MAX_ASIDE_MILLIS, millis);
+    }
+
+    private Health of(String server) {
+        return servers.computeIfAbsent(server, k -> new Health());
+    }
+
+    private static final class Health {
+        private double failureRate;
+        private double millis = -1;
+        private int streak;
+        private long asideUntil = Long.MIN_VALUE;
+    }
+}
--- /dev/null
+++ b/core/src/main/java/io/hornbeamscale/core/placement/LoadBook.java
@@ -0,0 +1,89 @@
+package io.hornbeamscale.core.placement;
+
+import io.hornbeamscale.core.util.Arguments;
+import java.util.HashMap;
+import java.util.Map;
+
+/**
+ * The load of backend servers: exactly what this entry has placed there, and what other entries last told of theirs.
+ * Not safe for use by several threads.
+ */
+public final class LoadBook {
+    /**
+     * How long the word of another entry counts, in milliseconds. An entry that is silent for so long has ended, and its
+     * requests with it.
+     */
+    static final long PEER_MILLIS = 3_000;
+
+    private final Map<String, ServerLoad> own = new HashMap<>();
+    private final Map<String, PeerLoads> peers = new HashMap<>();
+
+    /**
+     * Adds a request that this entry sends to a server.
+     *
+     * @param server the id of the server, not null
+     * @param load the load of the request, not null
+     */
+    public void add(String server, ServerLoad load) {
+        own.merge(Arguments.notNull(server, "server"), load, ServerLoad::plus);
+    }
+
+    /**
+     * Takes a load off that was added before.
+     *
+     * @param server the id of the server, not null
+     * @param load the load, not null
+     */
+    public void remove(String server, ServerLoad load) {
+        own.computeIfPresent(server, (id, present) -> {
+            ServerLoad rest = new ServerLoad(
+                    present.requests() - load.requests(),
+                    present.tokens() - load.tokens(),
+                    present.prefillTokens() - load.prefillTokens());
+            return rest.equals(ServerLoad.NONE) ? null : rest;
+        });
+    }
+
+    /**
+     * Replaces what another entry has placed.
+     *
+     * @param peer the name of the entry, not null
+     * @param loads its load by server, not null
+     * @param nowMillis the present time
+     */
+    public void told(String peer, Map<String, ServerLoad> loads, long nowMillis) {
+        peers.put(peer, new PeerLoads(Map.copyOf(loads), nowMillis));
+    }
+
+    /**
+     * Returns what this entry has placed.
+     *
+     * @return the load by server, a copy, never null
+     */
+    public Map<String, ServerLoad> own() {
+        return Map.copyOf(own);
+    }
+
+    /**
+     * Returns the load of a server by all entries.
+     *
+     * @param server the id of the server, not null
+     * @param nowMillis the present time
+     * @return the load, never null
+     */
+    public ServerLoad of(String server, long nowMillis) {
+        ServerLoad sum = own.getOrDefault(server, ServerLoad.NONE);
+        for (PeerLoads peer : peers.values()) {
+            if (nowMillis - peer.toldAtMillis > PEER_MILLIS) {
+                continue;
+            }
+            ServerLoad load = peer.loads.get(server);
+            if (load != null) {
+                sum = sum.plus(load);
+            }
+        }
+        return sum;
+    }
+
+    private record PeerLoads(Map<String, ServerLoad> loads, long toldAtMillis) {}
+}
--- /dev/null
+++ b/core/src/main/java/io/hornbeamscale/core/placement/PlainPlacement.java
@@ -0,0 +1,88 @@
+package io.hornbeamscale.core.placement;
+
+import io.hornbeamscale.core.fleet.FleetServer;
+import java.util.Collection;
+import java.util.Map;
+import java.util.Optional;
+import java.util.Set;
+import java.util.random.RandomGenerator;
+
+/**
+ * Chooses a backend server for a plain request, for the load of short calls of similar length on servers with few
+ * slots, some of which are slowed by their neighbours or fail part of their requests. The server wins from which the
+ * answer is expected soonest.
+ */
+public final class PlainPlacement {
+    /** The time a server is expected to take before it has answered, in milliseconds. */
+    private static final double UNKNOWN_MILLIS = 40;
+
+    /** The added delay of another zone and of another region, in milliseconds; there and back, with paid bytes. */
+    private static final double ZONE_COST = 6;
+
+    private static final double REGION_COST = 75;
+
+    /** The cost of a server that fails every request, in milliseconds. */
+    private static final double FAILURE_COST = 600;
+
+    /** The range of the random cost that keeps several entries from choosing the same server, in milliseconds. */
+    private static final double JITTER = 5;
+
+    private final LoadBook loads;
+    private final HealthBook health;
+    private final String zone;
+    private final Map<String, String> regions;
+
+    /**
+     * Creates a placement.
+     *
+     * @param loads the load of the servers, not null
+     * @param health how well servers answered, not null
+     * @param zone the zone of this entry, not null
+     * @param regions the region of each zone, not null
+     */
+    public PlainPlacement(LoadBook loads, HealthBook health, String zone, Map<String, String> regions) {
+        this.loads = loads;
+        this.health = health;
+        this.zone = zone;
+        this.regions = Map.copyOf(regions);
+    }
+
+    /**
+     * Chooses a server.
+     *
+     * @param servers the servers that take requests, not null
+     * @param excluded servers that must not be chosen, not null
+     * @param nowMillis the present time
+     * @param random the source of jitter, not null
+     * @return the server, empty if none is usable
+     */
+    public Optional<FleetServer> choose(
+            Collection<FleetServer> servers, Set<String> excluded, long nowMillis, RandomGenerator random) {
+        FleetServer best = null;
+        double bestCost = Double.POSITIVE_INFINITY;
+        for (FleetServer server : servers) {
+            if (excluded.contains(server.id()) || !health.isUsable(server.id(), nowMillis)) {
+                continue;
+            }
+            double cost = cost(server, nowMillis) + random.nextDouble() * JITTER;
+            if (cost < bestCost) {
+                best = server;
+                bestCost = cost;
+            }
+        }
+        return Optional.ofNullable(best);
+    }
+
+    private double cost(FleetServer server, long nowMillis) {
+        int slots = server.record().slots();
+        int requests = loads.of(server.id(), nowMillis).requests();
+        double work = health.answerMillis(server.id(), UNKNOWN_MILLIS);
+        double cost = work * (1 + Math.max(0.0, requests + 1 - slots) / slots) + work * requests / (4.0 * slots);
+        cost += health.failureRate(server.id()) * FAILURE_COST;
+        return switch (Distance.between(zone, server.record().zone(), regions)) {
+            case SAME_ZONE -> cost;
+            case SAME_REGION -> cost + ZONE_COST;
+            case OTHER_REGION -> cost + REGION_COST;
+        };
+    }
+}
--- a/core/src/test/java/io/hornbeamscale/core/LayeringTest.java
+++ b/core/src/test/java/io/hornbeamscale/core/LayeringTest.java
@@ -36,7 +36,7 @@
                     "org.apache.logging..",
                     "com.codahale..",
                     "io.hornbeamscale.wire..",
-                    "io.hornbeamscale.platform..",
+                    "io.hornbeamscale.external..",
                     "io.hornbeamscale.daemon.."
                 })
         void doesNotDependOn(String forbidden) {
--- a/daemon/src/main/java/io/hornbeamscale/daemon/AgentDaemon.java
+++ b/daemon/src/main/java/io/hornbeamscale/daemon/AgentDaemon.java
@@ -32,6 +32,7 @@
 import io.hornbeamscale.core.work.Reservation;
 import io.hornbeamscale.daemon.control.AgentPlane;
 import io.hornbeamscale.daemon.control.PlaneStatus;
+import io.hornbeamscale.gateway.ControlLoop;
 import io.hornbeamscale.wire.FrameConnection;
 import io.hornbeamscale.wire.FrameLoop;
 import io.hornbeamscale.wire.MessageCodec;
--- a/daemon/src/main/java/io/hornbeamscale/daemon/CallerHandler.java
+++ b/daemon/src/main/java/io/hornbeamscale/daemon/CallerHandler.java
@@ -9,6 +9,8 @@
 import io.hornbeamscale.core.id.CustomerId;
 import io.hornbeamscale.core.id.RequestId;
 import io.hornbeamscale.core.stream.EventId;
+import io.hornbeamscale.gateway.CallerWatch;
+import io.hornbeamscale.gateway.ControlLoop;
 import io.undertow.io.Receiver;
 import io.undertow.server.HttpHandler;
 import io.undertow.server.HttpServerExchange;
--- a/daemon/src/main/java/io/hornbeamscale/daemon/Consoles.java
+++ b/daemon/src/main/java/io/hornbeamscale/daemon/Consoles.java
@@ -1,7 +1,7 @@
 package io.hornbeamscale.daemon;
 
 import io.hornbeamscale.console.ConsoleHandler;
-import io.hornbeamscale.platform.KeyValueStore;
+import io.hornbeamscale.external.KeyValueStore;
 import io.undertow.server.HttpHandler;
 import java.security.SecureRandom;
 
--- a/daemon/src/main/java/io/hornbeamscale/daemon/CostFields.java
+++ b/daemon/src/main/java/io/hornbeamscale/daemon/CostFields.java
@@ -1,6 +1,7 @@
 package io.hornbeamscale.daemon;
 
 import com.codahale.metrics.MetricRegistry;
+import io.hornbeamscale.gateway.ControlLoop;
 import io.hornbeamscale.wire.FrameLoop;
 import java.util.LinkedHashMap;
 import java.util.Map;
--- a/daemon/src/main/java/io/hornbeamscale/daemon/DrainWatch.java
+++ b/daemon/src/main/java/io/hornbeamscale/daemon/DrainWatch.java
@@ -4,6 +4,7 @@
 import io.hornbeamscale.core.drain.DrainController;
 import io.hornbeamscale.core.drain.DrainSign;
 import io.hornbeamscale.core.drain.RunningWork;
+import io.hornbeamscale.gateway.ControlLoop;
 import java.util.List;
 import java.util.function.Consumer;
 import java.util.function.Supplier;
--- a/daemon/src/main/java/io/hornbeamscale/daemon/EntryLink.java
+++ b/daemon/src/main/java/io/hornbeamscale/daemon/EntryLink.java
@@ -1,6 +1,7 @@
 package io.hornbeamscale.daemon;
 
 import io.hornbeamscale.core.id.NodeId;
+import io.hornbeamscale.gateway.ControlLoop;
 import io.hornbeamscale.wire.FrameConnection;
 import io.hornbeamscale.wire.FrameListener;
 import io.hornbeamscale.wire.message.Hello;
--- /dev/null
+++ b/daemon/src/main/java/io/hornbeamscale/daemon/GatewayCommand.java
@@ -0,0 +1,37 @@
+package io.hornbeamscale.daemon;
+
+import com.beust.jcommander.Parameter;
+import com.beust.jcommander.Parameters;
+import io.hornbeamscale.gateway.Gateway;
+import io.hornbeamscale.gateway.GatewaySettings;
+import io.hornbeamscale.platform.PlatformExchange;
+import io.hornbeamscale.platform.PlatformSchema;
+import io.hornbeamscale.platform.PlatformSettings;
+import io.hornbeamscale.platform.PlatformStore;
+import java.nio.file.Path;
+import java.util.Optional;
+import java.util.SplittableRandom;
+
+/** Runs an entry on the users' platform until the process is asked to stop. */
+@Parameters(commandDescription = "Accept callers and send their requests straight to backend servers")
+final class GatewayCommand extends Command {
+    @Parameter(names = "--settings", description = "The JSON file with the platform's settings")
+    private String file;
+
+    @Override
+    int run() {
+        Logs.decisions();
+        String path = Optional.ofNullable(file)
+                .or(() -> Optional.ofNullable(System.getenv(PlatformSettings.PATH_VARIABLE)))
+                .orElse(PlatformSettings.DEFAULT_PATH);
+        GatewaySettings settings = PlatformSettings.read(Path.of(path));
+        Gateway gateway = new Gateway(
+                settings,
+                new PlatformExchange(),
+                new PlatformSchema(),
+                PlatformStore::new,
+                new SplittableRandom(settings.node().hashCode() ^ System.nanoTime()));
+        gateway.start();
+        return Stops.await("gateway", gateway::drain, gateway::isDrained, gateway);
+    }
+}
--- a/daemon/src/main/java/io/hornbeamscale/daemon/Main.java
+++ b/daemon/src/main/java/io/hornbeamscale/daemon/Main.java
@@ -18,6 +18,7 @@
             Usage: hornbeamscale COMMAND [options]
 
               entry    accept callers and hand their requests to agents
+              gateway  accept callers and send their requests straight to backend servers
               agent    run requests on the backend server beside it
               config   get, validate, compare, publish and roll back the document
               status   show the state of running processes
@@ -55,6 +56,7 @@
         }
         Map<String, Command> commands = new LinkedHashMap<>();
         commands.put("entry", new EntryCommand());
+        commands.put("gateway", new GatewayCommand());
         commands.put("agent", new AgentCommand());
         commands.put("status", new StatusCommand());
         commands.put("demo", new DemoCommand());
--- a/daemon/src/main/java/io/hornbeamscale/daemon/control/MembershipFeed.java
+++ b/daemon/src/main/java/io/hornbeamscale/daemon/control/MembershipFeed.java
@@ -8,7 +8,7 @@
 import io.hornbeamscale.core.membership.MembershipAction;
 import io.hornbeamscale.core.membership.MembershipView;
 import io.hornbeamscale.core.membership.VmRecord;
-import io.hornbeamscale.platform.VmList;
+import io.hornbeamscale.external.VmList;
 import io.hornbeamscale.wire.message.Leaving;
 import java.util.ArrayDeque;
 import java.util.Deque;
--- a/platform/src/main/java/io/hornbeamscale/platform/CallPolicy.java
+++ b/external/src/main/java/io/hornbeamscale/external/CallPolicy.java
@@ -1,4 +1,4 @@
-package io.hornbeamscale.platform;
+package io.hornbeamscale.external;
 
 import io.hornbeamscale.core.util.Arguments;
 import java.util.random.RandomGenerator;
--- a/platform/src/main/java/io/hornbeamscale/platform/HttpCall.java
+++ b/external/src/main/java/io/hornbeamscale/external/HttpCall.java
@@ -1,4 +1,4 @@
-package io.hornbeamscale.platform;
+package io.hornbeamscale.external;
 
 /**
  * An HTTP request as a value.
--- a/platform/src/main/java/io/hornbeamscale/platform/HttpOutcome.java
+++ b/external/src/main/java/io/hornbeamscale/external/HttpOutcome.java
@@ -1,4 +1,4 @@
-package io.hornbeamscale.platform;
+package io.hornbeamscale.external;
 
 /** How one attempt of an HTTP call ended. */
 sealed interface HttpOutcome {
--- a/platform/src/main/java/io/hornbeamscale/platform/HttpVmList.java
+++ b/external/src/main/java/io/hornbeamscale/external/HttpVmList.java
@@ -1,4 +1,4 @@
-package io.hornbeamscale.platform;
+package io.hornbeamscale.external;
 
 import com.fasterxml.jackson.databind.JsonNode;
 import io.hornbeamscale.core.id.NodeId;
--- a/platform/src/main/java/io/hornbeamscale/platform/Json.java
+++ b/external/src/main/java/io/hornbeamscale/external/Json.java
@@ -1,4 +1,4 @@
-package io.hornbeamscale.platform;
+package io.hornbeamscale.external;
 
 import com.fasterxml.jackson.core.JsonProcessingException;
 import com.fasterxml.jackson.databind.JsonNode;
--- a/platform/src/main/java/io/hornbeamscale/platform/VmList.java
+++ b/external/src/main/java/io/hornbeamscale/external/VmList.java
@@ -1,4 +1,4 @@
-package io.hornbeamscale.platform;
+package io.hornbeamscale.external;
 
 import io.hornbeamscale.core.membership.VmRecord;
 import java.util.List;
--- a/platform/src/main/java/io/hornbeamscale/platform/WatchReply.java
+++ b/external/src/main/java/io/hornbeamscale/external/WatchReply.java
@@ -1,4 +1,4 @@
-package io.hornbeamscale.platform;
+package io.hornbeamscale.external;
 
 /** The reply to a watch of the store. */
 public sealed interface WatchReply {
--- a/platform/src/main/java/io/hornbeamscale/platform/WeightReply.java
+++ b/external/src/main/java/io/hornbeamscale/external/WeightReply.java
@@ -1,4 +1,4 @@
-package io.hornbeamscale.platform;
+package io.hornbeamscale.external;
 
 /** The reply of the weight store. */
 public sealed interface WeightReply {
--- a/platform/src/test/java/io/hornbeamscale/platform/EngineCommandsContract.java
+++ b/external/src/test/java/io/hornbeamscale/external/EngineCommandsContract.java
@@ -1,4 +1,4 @@
-package io.hornbeamscale.platform;
+package io.hornbeamscale.external;
 
 import static org.junit.jupiter.api.Assertions.assertEquals;
 import static org.junit.jupiter.api.Assertions.assertInstanceOf;
--- a/platform/src/test/java/io/hornbeamscale/platform/FakeEngineCommands.java
+++ b/external/src/test/java/io/hornbeamscale/external/FakeEngineCommands.java
@@ -1,4 +1,4 @@
-package io.hornbeamscale.platform;
+package io.hornbeamscale.external;
 
 import io.hornbeamscale.core.reconcile.CommandReply;
 import io.hornbeamscale.core.reconcile.EngineActual;
--- a/platform/src/test/java/io/hornbeamscale/platform/FakeEngineCommandsTest.java
+++ b/external/src/test/java/io/hornbeamscale/external/FakeEngineCommandsTest.java
@@ -1,4 +1,4 @@
-package io.hornbeamscale.platform;
+package io.hornbeamscale.external;
 
 class FakeEngineCommandsTest extends EngineCommandsContract {
     private FakeEngineCommands engine;
--- a/platform/src/test/java/io/hornbeamscale/platform/FakeKeyValueStore.java
+++ b/external/src/test/java/io/hornbeamscale/external/FakeKeyValueStore.java
@@ -1,4 +1,4 @@
-package io.hornbeamscale.platform;
+package io.hornbeamscale.external;
 
 import io.hornbeamscale.core.error.ErrorKind;
 import io.hornbeamscale.core.error.ServingException;
--- a/platform/src/test/java/io/hornbeamscale/platform/FakeKeyValueStoreTest.java
+++ b/external/src/test/java/io/hornbeamscale/external/FakeKeyValueStoreTest.java
@@ -1,4 +1,4 @@
-package io.hornbeamscale.platform;
+package io.hornbeamscale.external;
 
 class FakeKeyValueStoreTest extends KeyValueStoreContract {
     private long nowMillis = 1_000;
--- a/platform/src/test/java/io/hornbeamscale/platform/FakeWeightStoreTest.java
+++ b/external/src/test/java/io/hornbeamscale/external/FakeWeightStoreTest.java
@@ -1,4 +1,4 @@
-package io.hornbeamscale.platform;
+package io.hornbeamscale.external;
 
 class FakeWeightStoreTest extends WeightStoreContract {
     private final FakeWeightStore store = new FakeWeightStore(BURST);
--- /dev/null
+++ b/gateway/src/main/java/io/hornbeamscale/gateway/CallerResponse.java
@@ -0,0 +1,114 @@
+package io.hornbeamscale.gateway;
+
+import io.undertow.server.HttpServerExchange;
+import java.io.IOException;
+import java.nio.ByteBuffer;
+import java.util.ArrayDeque;
+import org.xnio.IoUtils;
+import org.xnio.channels.StreamSinkChannel;
+
+/** Writes the response to a caller. Its methods run on the exchange's I/O thread. */
+final class CallerResponse {
+    /** The bytes that may wait for a caller that reads slowly; a caller further behind is disconnected. */
+    private static final long MAX_QUEUED_BYTES = 2L << 20;
+
+    private final HttpServerExchange exchange;
+    private final ArrayDeque<ByteBuffer> queue = new ArrayDeque<>();
+    private StreamSinkChannel channel;
+    private long queuedBytes;
+    private boolean isLast;
+    private boolean isShutDown;
+    private boolean isEnded;
+
+    CallerResponse(HttpServerExchange exchange) {
+        this.exchange = exchange;
+    }
+
+    /** Returns whether the head of the response has left or is about to. */
+    boolean isStarted() {
+        return channel != null;
+    }
+
+    /** Sends a whole response. Status and headers must be set on the exchange before. */
+    void respond(byte[] body) {
+        exchange.setResponseContentLength(body.length);
+        isLast = true;
+        queue.add(ByteBuffer.wrap(body));
+        open();
+        pump();
+    }
+
+    /** Sends the head of a response whose body follows. */
+    void start() {
+        open();
+        pump();
+    }
+
+    /** Adds bytes to the body. */
+    void write(byte[] bytes) {
+        if (isEnded || bytes.length == 0) {
+            return;
+        }
+        queuedBytes += bytes.length;
+        if (queuedBytes > MAX_QUEUED_BYTES) {
+            abort();
+            return;
+        }
+        queue.add(ByteBuffer.wrap(bytes));
+        pump();
+    }
+
+    /** Ends the body. */
+    void finish() {
+        isLast = true;
+        pump();
+    }
+
+    /** Closes the connection, so that the response is visibly incomplete. */
+    void abort() {
+        isEnded = true;
+        IoUtils.safeClose(exchange.getConnection());
+    }
+
+    private void open() {
+        if (channel == null) {
+            channel = exchange.getResponseChannel();
+            channel.getWriteSetter().set(c -> pump());
+        }
+    }
+
+    private void pump() {
+        if (isEnded) {
+            return;
+        }
+        try {
+            while (!queue.isEmpty()) {
+                ByteBuffer first = queue.peek();
+                int count = channel.write(first);
+                queuedBytes -= count;
+                if (!first.hasRemaining()) {
+                    queue.poll();
+                } else if (count == 0) {
+                    channel.resumeWrites();
+                    return;
+                }
+            }
+            if (isLast && !isShutDown) {
+                isShutDown = true;
+                channel.shutdownWrites();
+            }
+            if (!channel.flush()) {
+                channel.resumeWrites();
+                return;
+            }
+            channel.suspendWrites();
+            if (isLast) {
+                isEnded = true;
+                exchange.endExchange();
+            }
+        } catch (IOException e) {
+            // The caller has left; closing tells the relay.
+            abort();
+        }
+    }
+}
--- a/daemon/src/main/java/io/hornbeamscale/daemon/CallerWatch.java
+++ b/gateway/src/main/java/io/hornbeamscale/gateway/CallerWatch.java
@@ -1,4 +1,4 @@
-package io.hornbeamscale.daemon;
+package io.hornbeamscale.gateway;
 
 import io.undertow.connector.PooledByteBuffer;
 import io.undertow.server.HttpServerExchange;
@@ -11,11 +11,15 @@
  * Notices a caller that closes its connection while it waits for a response. Undertow itself does not read from the
  * connection during an exchange.
  */
-final class CallerWatch {
+public final class CallerWatch {
     private CallerWatch() {}
 
-    /** Watches the connection of an exchange whose request was read in full. Runs on the I/O thread. */
-    static void start(HttpServerExchange exchange) {
+    /**
+     * Watches the connection of an exchange whose request was read in full. Runs on the I/O thread.
+     *
+     * @param exchange the exchange, not null
+     */
+    public static void start(HttpServerExchange exchange) {
         if (exchange.getConnection() instanceof HttpServerConnection connection && connection.getExtraBytes() == null) {
             ConduitStreamSourceChannel source = connection.getChannel().getSourceChannel();
             source.setReadListener(channel -> readable(connection, channel));
--- a/daemon/src/main/java/io/hornbeamscale/daemon/ControlLoop.java
+++ b/gateway/src/main/java/io/hornbeamscale/gateway/ControlLoop.java
@@ -1,4 +1,4 @@
-package io.hornbeamscale.daemon;
+package io.hornbeamscale.gateway;
 
 import io.hornbeamscale.core.util.Arguments;
 import java.lang.management.ManagementFactory;
@@ -10,53 +10,83 @@
 import org.apache.logging.log4j.Logger;
 
 /** The thread that runs the controllers of a process. I/O threads pass events to it. */
-final class ControlLoop implements AutoCloseable {
+public final class ControlLoop implements AutoCloseable {
     /** The pause between two ticks, in milliseconds. */
-    static final long TICK_MILLIS = 10;
+    public static final long TICK_MILLIS = 10;
 
     private static final ThreadMXBean THREADS = ManagementFactory.getThreadMXBean();
 
     private final Logger log;
     private final BlockingQueue<Runnable> events = new LinkedBlockingQueue<>();
     private final Runnable tick;
+    private final long tickMillis;
     private final Thread thread;
     private volatile boolean isClosed;
     private volatile long cpuNanos;
 
+    /**
+     * Creates a loop that is not started and ticks every {@link #TICK_MILLIS}.
+     *
+     * @param component the component, which names thread and log lines
+     * @param tick runs on the control thread, not null
+     */
+    public ControlLoop(String component, Runnable tick) {
+        this(component, TICK_MILLIS, tick);
+    }
+
     /**
      * Creates a loop that is not started.
      *
      * @param component the component, which names thread and log lines
-     * @param tick runs on the control thread every {@link #TICK_MILLIS}
+     * @param tickMillis the pause between two ticks, in milliseconds
+     * @param tick runs on the control thread, not null
      */
-    ControlLoop(String component, Runnable tick) {
+    public ControlLoop(String component, long tickMillis, Runnable tick) {
+        this.tickMillis = Arguments.positive(tickMillis, "tickMillis");
         this.log = LogManager.getLogger(component);
         this.tick = Arguments.notNull(tick, "tick");
         this.thread = new Thread(this::run, component + "-control");
         thread.setDaemon(true);
     }
 
-    /** Returns the time of the process's monotonic clock, in milliseconds. */
-    static long now() {
+    /**
+     * Returns the time of the process's monotonic clock.
+     *
+     * @return the time, in milliseconds
+     */
+    public static long now() {
         return TimeUnit.NANOSECONDS.toMillis(System.nanoTime());
     }
 
-    void start() {
+    /** Starts the thread. */
+    public void start() {
         thread.start();
     }
 
-    /** Runs an event on the control thread, after those passed before. */
-    void execute(Runnable event) {
+    /**
+     * Runs an event on the control thread, after those passed before.
+     *
+     * @param event the event, not null
+     */
+    public void execute(Runnable event) {
         events.add(event);
     }
 
-    /** Returns the number of events that wait. */
-    int waiting() {
+    /**
+     * Returns the number of events that wait.
+     *
+     * @return the number of events
+     */
+    public int waiting() {
         return events.size();
     }
 
-    /** Returns the processor time of the control thread, as of the last tick, in nanoseconds. */
-    long cpuNanos() {
+    /**
+     * Returns the processor time of the control thread, as of the last tick.
+     *
+     * @return the time, in nanoseconds
+     */
+    public long cpuNanos() {
         return cpuNanos;
     }
 
@@ -67,7 +97,7 @@
     }
 
     private void run() {
-        long nextTick = now() + TICK_MILLIS;
+        long nextTick = now() + tickMillis;
         while (!isClosed) {
             try {
                 Runnable event = events.poll(Math.max(0, nextTick - now()), TimeUnit.MILLISECONDS);
@@ -75,7 +105,7 @@
                     event.run();
                 }
                 if (now() >= nextTick) {
-                    nextTick = now() + TICK_MILLIS;
+                    nextTick = now() + tickMillis;
                     tick.run();
                     cpuNanos = THREADS.getCurrentThreadCpuTime();
                 }
--- /dev/null
+++ b/gateway/src/main/java/io/hornbeamscale/gateway/DecisionLog.java
@@ -0,0 +1,162 @@
+package io.hornbeamscale.gateway;
+
+import io.hornbeamscale.core.fleet.FleetServer;
+import java.util.HashMap;
+import java.util.Map;
+import org.apache.logging.log4j.LogManager;
+import org.apache.logging.log4j.Logger;
+import org.apache.logging.log4j.message.StringMapMessage;
+
+/**
+ * Writes one line for each decision that touches a request or changes what the process believes. The number of lines of
+ * each kind in a second is bounded; what is left out is counted and said. Safe for use by several threads.
+ */
+final class DecisionLog {
+    /** The lines of one kind in a second. A line costs about 50 microseconds of a core that is mostly needed elsewhere. */
+    private static final int LINES_PER_SECOND = 40;
+
+    private static final long SECOND_MILLIS = 1_000;
+
+    private final Logger requests = LogManager.getLogger("request");
+    private final Logger fleet = LogManager.getLogger("fleet");
+    private final Logger store = LogManager.getLogger("store");
+    private final Logger process = LogManager.getLogger("process");
+    private final Map<String, Budget> budgets = new HashMap<>();
+
+    /** A request was sent to a server. */
+    void sent(RelayRequest request, FleetServer server, int attempt, long remainingMillis) {
+        if (isAllowed("sent")) {
+            requests.info(line("sent", request)
+                    .with("server", server.id())
+                    .with("attempt", attempt)
+                    .with("remainingMillis", remainingMillis));
+        }
+    }
+
+    /** A send ended without a response that counts, and the request goes on. */
+    void repeated(RelayRequest request, FleetServer server, String why) {
+        if (isAllowed("repeated")) {
+            requests.info(line("repeated", request).with("server", server.id()).with("why", why));
+        }
+    }
+
+    /** A step of a move has ended. */
+    void moved(RelayRequest request, FleetServer from, FleetServer to, boolean isLast, ExchangeCodec.MoveReply reply) {
+        if (isAllowed("moved")) {
+            requests.info(line("moved", request)
+                    .with("server", from.id())
+                    .with("target", to.id())
+                    .with("isLast", isLast)
+                    .with("outcome", reply.outcome().name())
+                    .with("events", reply.events()));
+        }
+    }
+
+    /** A request has ended. */
+    void requestEnded(RelayRequest request, int status, long millis, String why) {
+        if (isAllowed("ended")) {
+            requests.info(line("ended", request)
+                    .with("route", request.route().name())
+                    .with("status", status)
+                    .with("millis", millis)
+                    .with("documentVersion", request.documentVersion())
+                    .with("why", why));
+        }
+    }
+
+    /** A request was refused before it could be relayed. */
+    void refused(String requestId, int status, String why) {
+        if (isAllowed("refused")) {
+            requests.info(new Line()
+                    .with("event", "refused")
+                    .with("request", requestId)
+                    .with("status", status)
+                    .with("why", why));
+        }
+    }
+
+    /** The belief about a backend server has changed. */
+    void serverEvent(String id, String state, String source, long revision) {
+        if (isAllowed("server")) {
+            fleet.info(new Line()
+                    .with("event", "server")
+                    .with("server", id)
+                    .with("state", state)
+                    .with("source", source)
+                    .with("revision", revision));
+        }
+    }
+
+    /** The store was lost or regained, or has told something new. */
+    void storeEvent(String event, String detail) {
+        if (isAllowed(event)) {
+            store.info(new Line().with("event", event).with("detail", detail));
+        }
+    }
+
+    /** The process has started, reloaded, stops, or has lost or regained another entry. */
+    void processEvent(String event, String detail) {
+        process.info(new Line().with("event", event).with("detail", detail));
+    }
+
+    private static Line line(String event, RelayRequest request) {
+        return new Line().with("event", event).with("request", request.id());
+    }
+
+    private synchronized boolean isAllowed(String kind) {
+        long second = ControlLoop.now() / SECOND_MILLIS;
+        Budget budget = budgets.computeIfAbsent(kind, k -> new Budget());
+        if (budget.second != second) {
+            if (budget.dropped > 0) {
+                process.info(new Line()
+                        .with("event", "lines_left_out")
+                        .with("kind", kind)
+                        .with("lines", budget.dropped));
+            }
+            budget.second = second;
+            budget.lines = 0;
+            budget.dropped = 0;
+        }
+        if (budget.lines >= LINES_PER_SECOND) {
+            budget.dropped++;
+            return false;
+        }
+        budget.lines++;
+        return true;
+    }
+
+    private static final class Budget {
+        private long second;
+        private int lines;
+        private long dropped;
+    }
+
+    /** The fields of a line, in order. */
+    private static final class Line extends StringMapMessage {
+        private static final long serialVersionUID = 1L;
+
+        @Override
+        public Line with(String key, String value) {
+            super.with(key, value);
+            return this;
+        }
+
+        @Override
+        public Line with(String key, long value) {
+            super.with(key, value);
+            return this;
+        }
+
+        @Override
+        public Line with(String key, int value) {
+            super.with(key, value);
+            return this;
+        }
+
+        @Override
+        public Line with(String key, boolean value) {
+            super.with(key, value);
+            return this;
+        }
+    }
+}
--- /dev/null
+++ b/gateway/src/main/java/io/hornbeamscale/gateway/GatewayHandler.java
@@ -0,0 +1,174 @@
+package io.hornbeamscale.gateway;
+
+import io.hornbeamscale.core.error.ErrorAnswers;
+import io.hornbeamscale.core.error.ErrorKind;
+import io.hornbeamscale.core.route.Customer;
+import io.hornbeamscale.core.route.RequestKind;
+import io.hornbeamscale.core.route.Route;
+import io.hornbeamscale.core.route.RouteDocument;
+import io.hornbeamscale.core.route.ServiceSpec;
+import io.undertow.io.Receiver;
+import io.undertow.server.HttpHandler;
+import io.undertow.server.HttpServerExchange;
+import io.undertow.util.HeaderMap;
+import io.undertow.util.HeaderValues;
+import io.undertow.util.Headers;
+import io.undertow.util.SameThreadExecutor;
+import java.nio.ByteBuffer;
+import java.nio.charset.StandardCharsets;
+import java.util.Optional;
+import java.util.function.Supplier;
+
+/** Accepts callers' requests on the traffic thread: route, key, limits of size; then hands them to a relay. */
+final class GatewayHandler implements HttpHandler {
+    private static final int HEADER_OVERHEAD_BYTES = 4;
+    private static final long RETRY_AFTER_MILLIS = 500;
+
+    private final Traffic traffic;
+    private final Supplier<Optional<RouteDocument>> document;
+    private final Stopping stopping;
+
+    GatewayHandler(Traffic traffic, Supplier<Optional<RouteDocument>> document, Stopping stopping) {
+        this.traffic = traffic;
+        this.document = document;
+        this.stopping = stopping;
+    }
+
+    @Override
+    public void handleRequest(HttpServerExchange exchange) {
+        long now = ControlLoop.now();
+        CallerHead head = traffic.codec().decodeCaller(exchange.getRequestHeaders());
+        Optional<RouteDocument> present = document.get();
+        if (present.isEmpty()) {
+            refuse(exchange, head, ErrorKind.STORE_UNAVAILABLE, RETRY_AFTER_MILLIS, "no document yet");
+            return;
+        }
+        RouteDocument rules = present.get();
+        Optional<Route> route = rules.route(exchange.getRequestHeaders().getFirst(Headers.HOST), path(exchange));
+        if (route.isEmpty()) {
+            refuse(exchange, head, ErrorKind.NOT_FOUND, -1, "no route, document " + rules.version());
+            return;
+        }
+        Optional<Customer> customer = rules.customer(head.apiKey().orElse(null));
+        boolean needsKey = rules.hasCustomers() && !route.get().isPublic();
+        if (needsKey && customer.isEmpty()) {
+            refuse(exchange, head, ErrorKind.UNAUTHORIZED, -1, "unknown key, document " + rules.version());
+            return;
+        }
+        if (headerBytes(exchange.getRequestHeaders()) > rules.limits().maxHeaderBytes()) {
+            exchange.setPersistent(false);
+            refuse(exchange, head, ErrorKind.HEADERS_TOO_LARGE, -1, "headers too large");
+            return;
+        }
+        if (exchange.getRequestContentLength() > rules.limits().maxBodyBytes()) {
+            exchange.setPersistent(false);
+            refuse(exchange, head, ErrorKind.PAYLOAD_TOO_LARGE, -1, "body too large");
+            return;
+        }
+        exchange.getRequestReceiver().setMaxBufferSize((int)
+                Math.min(Integer.MAX_VALUE, rules.limits().maxBodyBytes()));
+        exchange.getRequestReceiver()
+                .receiveFullBytes(
+                        (ex, body) ->
+                                accept(ex, head, rules, route.get(), needsKey ? customer : Optional.empty(), body, now),
+                        (ex, e) -> {
+                            ex.setPersistent(false);
+                            boolean isTooLarge = e instanceof Receiver.RequestToLargeException;
+                            refuse(
+                                    ex,
+                                    head,
+                                    isTooLarge ? ErrorKind.PAYLOAD_TOO_LARGE : ErrorKind.BAD_REQUEST,
+                                    -1,
+                                    "the body could not be read: " + e.getMessage());
+                        });
+    }
+
+    private void accept(
+            HttpServerExchange exchange,
+            CallerHead head,
+            RouteDocument rules,
+            Route route,
+            Optional<Customer> customer,
+            byte[] body,
+            long arrivedAtMillis) {
+        long limit = route.timeoutMillis();
+        if (head.budgetMillis() > 0) {
+            limit = Math.min(limit, head.budgetMillis());
+        }
+        String service = route.service(head.requestId().orElse("").hashCode());
+        HeaderMap headers = exchange.getRequestHeaders();
+        RelayRequest request = new RelayRequest(
+                head,
+                route,
+                customer,
+                rules.service(service).orElseGet(() -> new ServiceSpec(service, 0, Optional.empty())),
+                exchange.getRequestMethod().toString(),
+                target(exchange),
+                headers,
+                ByteBuffer.wrap(body),
+                headers.contains(Headers.CONTENT_LENGTH) || headers.contains(Headers.TRANSFER_ENCODING),
+                rules.version(),
+                arrivedAtMillis,
+                arrivedAtMillis + limit);
+        if (stopping.isRefused(request)) {
+            exchange.setPersistent(false);
+            refuse(exchange, head, ErrorKind.DRAINING, 0, "the process stops before the response could end");
+            return;
+        }
+        if (stopping.isStopping()) {
+            exchange.setPersistent(false);
+        }
+        exchange.dispatch(SameThreadExecutor.INSTANCE, () -> {
+            CallerWatch.start(exchange);
+            boolean isStream = route.kind() == RequestKind.STREAMING
+                    && request.service().engine().isPresent();
+            Relay relay =
+                    isStream ? new StreamRelay(traffic, exchange, request) : new PlainRelay(traffic, exchange, request);
+            relay.begin(ControlLoop.now());
+        });
+    }
+
+    private void refuse(
+            HttpServerExchange exchange, CallerHead head, ErrorKind kind, long retryAfterMillis, String why) {
+        int status = ErrorAnswers.of(kind).httpStatus();
+        traffic.metrics().refused(status);
+        traffic.log().refused(head.requestId().orElse("-"), status, why);
+        exchange.setStatusCode(status);
+        traffic.codec().encodeOwn(exchange.getResponseHeaders(), head.requestId(), retryAfterMillis);
+        byte[] body = ("{\"error\":\"" + kind.code() + "\"}\n").getBytes(StandardCharsets.UTF_8);
+        exchange.dispatch(SameThreadExecutor.INSTANCE, () -> new CallerResponse(exchange).respond(body));
+    }
+
+    private static String path(HttpServerExchange exchange) {
+        String uri = exchange.getRequestURI();
+        if (!exchange.isHostIncludedInRequestURI()) {
+            return uri;
+        }
+        int slash = uri.indexOf('/', uri.indexOf("://") + "://".length());
+        return slash < 0 ? "/" : uri.substring(slash);
+    }
+
+    private static String target(HttpServerExchange exchange) {
+        String query = exchange.getQueryString();
+        return query.isEmpty() ? path(exchange) : path(exchange) + "?" + query;
+    }
+
+    private static long headerBytes(HeaderMap headers) {
+        long size = 0;
+        for (HeaderValues values : headers) {
+            for (String value : values) {
+                size += values.getHeaderName().length() + value.length() + HEADER_OVERHEAD_BYTES;
+            }
+        }
+        return size;
+    }
+
+    /** Says what a process that stops still takes. */
+    interface Stopping {
+        /** Returns whether the process was asked to stop. */
+        boolean isStopping();
+
+        /** Returns whether a request would not end before the process does. */
+        boolean isRefused(RelayRequest request);
+    }
+}
--- /dev/null
+++ b/gateway/src/main/java/io/hornbeamscale/gateway/GatewayMetrics.java
@@ -0,0 +1,38 @@
+package io.hornbeamscale.gateway;
+
+import com.codahale.metrics.Histogram;
+import com.codahale.metrics.MetricRegistry;
+import io.hornbeamscale.core.route.RequestKind;
+import java.util.Locale;
+
+/** The counters and histograms of an entry. Names end in the unit where there is one. */
+final class GatewayMetrics {
+    private static final int STATUS_CLASS = 100;
+
+    private final MetricRegistry registry = new MetricRegistry();
+    private final Histogram firstEvent = registry.histogram("first_event_millis");
+
+    MetricRegistry registry() {
+        return registry;
+    }
+
+    /** Counts a request that has ended; status 0 stands for a closed connection. */
+    void ended(RequestKind kind, int status, long millis) {
+        String name = kind.name().toLowerCase(Locale.ROOT);
+        registry.counter("requests." + name + "_" + status / STATUS_CLASS + "xx")
+                .inc();
+        registry.histogram("request_millis." + name).update(millis);
+    }
+
+    void refused(int status) {
+        registry.counter("refused." + status).inc();
+    }
+
+    void firstEvent(long millis) {
+        firstEvent.update(millis);
+    }
+
+    void count(String name) {
+        registry.counter(name).inc();
+    }
+}
--- /dev/null
+++ b/gateway/src/main/java/io/hornbeamscale/gateway/PlainRelay.java
@@ -0,0 +1,273 @@
+package io.hornbeamscale.gateway;
+
+import io.hornbeamscale.core.error.ErrorKind;
+import io.hornbeamscale.core.fleet.FleetServer;
+import io.hornbeamscale.core.placement.ServerLoad;
+import io.hornbeamscale.core.route.Customer;
+import io.undertow.server.HttpServerExchange;
+import io.undertow.util.HeaderMap;
+import java.io.ByteArrayOutputStream;
+import java.nio.ByteBuffer;
+import java.util.HashSet;
+import java.util.List;
+import java.util.Optional;
+import java.util.Set;
+import java.util.concurrent.TimeUnit;
+import org.xnio.XnioExecutor;
+
+/** A request with a single response, which is read in full before the caller gets it. */
+final class PlainRelay extends Relay {
+    private static final ServerLoad LOAD = new ServerLoad(1, 0, 0);
+    private static final int SERVER_ERROR = 500;
+    private static final int MISDIRECTED = 421;
+    private static final Set<Integer> NOT_RUN_STATUSES = Set.of(408, 421, 429, 503);
+
+    /** How often a request is offered to servers that refuse it. */
+    private static final int MAX_OFFERS = 3;
+
+    /** The share of the time left that one attempt of a repeatable request may take while another is still allowed. */
+    private static final double ATTEMPT_SHARE = 0.45;
+
+    private static final long CONNECT_MILLIS = 400;
+    private static final long RETRY_AFTER_MILLIS = 300;
+
+    private final Set<String> tried = new HashSet<>();
+    private int offers;
+    private int runs;
+    private Attempt attempt;
+
+    PlainRelay(Traffic traffic, HttpServerExchange exchange, RelayRequest request) {
+        super(traffic, exchange, request);
+    }
+
+    @Override
+    void run(long nowMillis) {
+        send(nowMillis);
+    }
+
+    @Override
+    void cancelSends() {
+        if (attempt != null) {
+            attempt.cancel();
+        }
+    }
+
+    @Override
+    boolean mayHaveRun() {
+        return runs > 0;
+    }
+
+    @Override
+    void fleetChanged() {
+        // A leaving server goes on with what it runs.
+    }
+
+    private void send(long nowMillis) {
+        List<FleetServer> servers = traffic().fleet().ready(request().service().name());
+        Optional<FleetServer> chosen =
+                traffic().plain().choose(servers, tried, nowMillis, traffic().random());
+        if (chosen.isEmpty()) {
+            boolean isNone = servers.isEmpty();
+            if (runs > 0) {
+                fail(ErrorKind.OUTCOME_UNKNOWN, -1, "no other server for a repeat");
+            } else {
+                fail(isNone ? ErrorKind.NO_BACKEND : ErrorKind.OVERLOADED, RETRY_AFTER_MILLIS, "no server takes it");
+            }
+            return;
+        }
+        attempt = new Attempt(chosen.get(), nowMillis);
+        attempt.begin(nowMillis);
+    }
+
+    private boolean isRepeatable() {
+        return request().route().kind().isRepeatable();
+    }
+
+    private boolean mayRunAgain() {
+        return isRepeatable() && runs < request().route().maxServers();
+    }
+
+    private boolean tryRepeat(long nowMillis) {
+        return offers < MAX_OFFERS
+                && request().remainingMillis(nowMillis) > RETURN_MILLIS
+                && traffic().repeats().tryRepeat(request().service().name(), nowMillis);
+    }
+
+    private boolean hasOther(long nowMillis) {
+        return traffic()
+                .plain()
+                .choose(
+                        traffic().fleet().ready(request().service().name()),
+                        tried,
+                        nowMillis,
+                        traffic().random())
+                .isPresent();
+    }
+
+    /** One send to one server. */
+    private final class Attempt implements BackendExchange.Listener {
+        private final FleetServer server;
+        private final long sentAtMillis;
+        private final ByteArrayOutputStream body = new ByteArrayOutputStream();
+        private BackendExchange exchange;
+        private XnioExecutor.Key timer;
+        private int status;
+        private HeaderMap headers;
+        private ServerHead head;
+        private boolean isEnded;
+
+        Attempt(FleetServer server, long nowMillis) {
+            this.server = server;
+            this.sentAtMillis = nowMillis;
+        }
+
+        void begin(long nowMillis) {
+            tried.add(server.id());
+            offers++;
+            runs++;
+            traffic().loads().add(server.id(), LOAD);
+            traffic().health().sent(server.id(), nowMillis);
+            long remaining = request().remainingMillis(nowMillis) - RETURN_MILLIS;
+            if (mayRunAgain()) {
+                timer = traffic()
+                        .thread()
+                        .executeAfter(
+                                this::tooSlow, Math.max(1, (long) (remaining * ATTEMPT_SHARE)), TimeUnit.MILLISECONDS);
+            }
+            SendFields fields = new SendFields(
+                    server.id(),
+                    request().customer().map(Customer::name),
+                    Math.max(1, remaining),
+                    Optional.empty(),
+                    Optional.empty(),
+                    Optional.empty());
+            BackendClient.Request call = new BackendClient.Request(
+                    request().method(),
+                    request().target(),
+                    traffic().codec().encodeRequest(request().headers(), fields),
+                    request().body().duplicate(),
+                    request().hasLength(),
+                    isRepeatable(),
+                    CONNECT_MILLIS);
+            traffic().log().sent(request(), server, offers, remaining);
+            exchange = traffic().client().send(server.record().address(), call, this, nowMillis);
+        }
+
+        void cancel() {
+            if (end() && exchange != null) {
+                exchange.cancel();
+            }
+        }
+
+        @Override
+        public void responded(int code, HeaderMap found) {
+            status = code;
+            headers = found;
+            head = traffic().codec().decodeServer(code, found);
+            exchange.setServerIdle(head.idleMillis());
+            if (!head.requestId().equals(request().head().requestId())) {
+                exchange.cancel();
+                failed(BackendExchange.Failure.BROKEN, "the response belongs to another request");
+            }
+        }
+
+        @Override
+        public void received(ByteBuffer bytes) {
+            byte[] copy = new byte[bytes.remaining()];
+            bytes.get(copy);
+            body.writeBytes(copy);
+        }
+
+        @Override
+        public void completed() {
+            if (!end()) {
+                return;
+            }
+            long now = ControlLoop.now();
+            if (head.isNotRun()) {
+                runs--;
+                traffic().health().answered(server.id(), status == MISDIRECTED, now - sentAtMillis);
+                refused(now);
+                return;
+            }
+            boolean isFailure = status >= SERVER_ERROR;
+            boolean isForged = !isFailure && !head.hasStamp();
+            traffic().health().answered(server.id(), isFailure || isForged, now - sentAtMillis);
+            if ((isFailure || isForged) && mayRunAgain() && hasOther(now) && tryRepeat(now)) {
+                traffic().log().repeated(request(), server, "status " + status);
+                send(now);
+            } else if (isForged) {
+                fail(ErrorKind.BACKEND_FAILED, -1, "the response bears no signature");
+            } else if (NOT_RUN_STATUSES.contains(status)) {
+                fail(ErrorKind.OUTCOME_UNKNOWN, -1, "status " + status + " without a statement that it has not run");
+            } else {
+                passOn(status, headers, body.toByteArray(), "server " + server.id());
+            }
+        }
+
+        @Override
+        public void failed(BackendExchange.Failure failure, String reason) {
+            if (!end()) {
+                return;
+            }
+            long now = ControlLoop.now();
+            if (failure == BackendExchange.Failure.NOT_SENT) {
+                runs--;
+                traffic().health().unreachable(server.id(), now);
+                traffic().log().repeated(request(), server, reason);
+                if (offers < MAX_OFFERS) {
+                    send(now);
+                } else {
+                    fail(ErrorKind.NO_BACKEND, RETRY_AFTER_MILLIS, reason);
+                }
+                return;
+            }
+            traffic().health().broke(server.id(), now);
+            broken(now, reason);
+        }
+
+        private void tooSlow() {
+            long now = ControlLoop.now();
+            if (isEnded || headers != null || !hasOther(now) || !tryRepeat(now)) {
+                return;
+            }
+            end();
+            exchange.cancel();
+            traffic().health().broke(server.id(), now);
+            traffic().log().repeated(request(), server, "no response yet");
+            send(now);
+        }
+
+        private void refused(long now) {
+            if (hasOther(now) && tryRepeat(now)) {
+                traffic().log().repeated(request(), server, "the server refused with status " + status);
+                send(now);
+            } else if (runs > 0) {
+                fail(ErrorKind.OUTCOME_UNKNOWN, -1, "a repeat was refused");
+            } else {
+                fail(ErrorKind.OVERLOADED, RETRY_AFTER_MILLIS, "refused with status " + status);
+            }
+        }
+
+        private void broken(long now, String reason) {
+            if (mayRunAgain() && hasOther(now) && tryRepeat(now)) {
+                traffic().log().repeated(request(), server, reason);
+                send(now);
+            } else {
+                fail(ErrorKind.OUTCOME_UNKNOWN, -1, reason);
+            }
+        }
+
+        private boolean end() {
+            if (isEnded) {
+                return false;
+            }
+            isEnded = true;
+            if (timer != null) {
+                timer.remove();
+            }
+            traffic().loads().remove(server.id(), LOAD);
+            return true;
+        }
+    }
+}
--- /dev/null
+++ b/gateway/src/main/java/io/hornbeamscale/gateway/ShortCall.java
@@ -0,0 +1,125 @@
+package io.hornbeamscale.gateway;
+
+import io.undertow.util.HeaderMap;
+import io.undertow.util.Headers;
+import java.io.ByteArrayOutputStream;
+import java.net.InetSocketAddress;
+import java.nio.ByteBuffer;
+import java.util.concurrent.TimeUnit;
+import org.xnio.XnioExecutor;
+import org.xnio.XnioIoThread;
+
+/** Sends a call with a short response and a time limit. Runs on the I/O thread. */
+public final class ShortCall {
+    /** The status that stands for a call without a response. */
+    public static final int NO_RESPONSE = 0;
+
+    private static final long CONNECT_MILLIS = 400;
+
+    private ShortCall() {}
+
+    /**
+     * Sends a call.
+     *
+     * @param client sends it, not null
+     * @param thread the I/O thread, not null
+     * @param to the address of the server, not null
+     * @param method the HTTP method, not null
+     * @param path the path with its query, not null
+     * @param body the body as JSON, empty for none, not null
+     * @param limitMillis how long the response may take, in milliseconds
+     * @param done hears of the end once, not null
+     * @return the exchange; cancelling it ends the call without a word, never null
+     */
+    public static BackendExchange send(
+            BackendClient client,
+            XnioIoThread thread,
+            InetSocketAddress to,
+            String method,
+            String path,
+            byte[] body,
+            long limitMillis,
+            Done done) {
+        HeaderMap headers = new HeaderMap();
+        headers.put(Headers.HOST, to.getAddress().getHostAddress() + ":" + to.getPort());
+        if (body.length > 0) {
+            headers.put(Headers.CONTENT_TYPE, "application/json");
+        }
+        boolean hasLength = !method.equals("GET") && !method.equals("DELETE");
+        BackendClient.Request request = new BackendClient.Request(
+                method, path, headers, ByteBuffer.wrap(body), hasLength, true, CONNECT_MILLIS);
+        Reader reader = new Reader(done);
+        BackendExchange exchange = client.send(to, request, reader, ControlLoop.now());
+        reader.limit(thread, exchange, limitMillis);
+        return exchange;
+    }
+
+    /** Receives the result of a call. */
+    public interface Done {
+        /**
+         * The call has ended.
+         *
+         * @param status the status code, {@link #NO_RESPONSE} if there is no response
+         * @param body the body, never null
+         */
+        void ended(int status, byte[] body);
+    }
+
+    private static final class Reader implements BackendExchange.Listener {
+        private final Done done;
+        private final ByteArrayOutputStream out = new ByteArrayOutputStream();
+        private XnioExecutor.Key timer;
+        private int status;
+        private boolean isEnded;
+
+        Reader(Done done) {
+            this.done = done;
+        }
+
+        void limit(XnioIoThread thread, BackendExchange exchange, long millis) {
+            if (isEnded) {
+                return;
+            }
+            timer = thread.executeAfter(
+                    () -> {
+                        exchange.cancel();
+                        end(NO_RESPONSE);
+                    },
+                    millis,
+                    TimeUnit.MILLISECONDS);
+        }
+
+        @Override
+        public void responded(int code, HeaderMap headers) {
+            status = code;
+        }
+
+        @Override
+        public void received(ByteBuffer bytes) {
+            byte[] copy = new byte[bytes.remaining()];
+            bytes.get(copy);
+            out.writeBytes(copy);
+        }
+
+        @Override
+        public void completed() {
+            end(status);
+        }
+
+        @Override
+        public void failed(BackendExchange.Failure failure, String reason) {
+            end(NO_RESPONSE);
+        }
+
+        private void end(int code) {
+            if (isEnded) {
+                return;
+            }
+            isEnded = true;
+            if (timer != null) {
+                timer.remove();
+            }
+            done.ended(code, out.toByteArray());
+        }
+    }
+}
--- /dev/null
+++ b/gateway/src/main/java/io/hornbeamscale/gateway/Traffic.java
@@ -0,0 +1,196 @@
+package io.hornbeamscale.gateway;
+
+import io.hornbeamscale.core.blackboard.Blackboard;
+import io.hornbeamscale.core.fleet.FleetServer;
+import io.hornbeamscale.core.fleet.FleetSnapshot;
+import io.hornbeamscale.core.limit.RepeatAllowance;
+import io.hornbeamscale.core.placement.GenerationPlacement;
+import io.hornbeamscale.core.placement.HealthBook;
+import io.hornbeamscale.core.placement.LoadBook;
+import io.hornbeamscale.core.placement.PlainPlacement;
+import java.net.InetSocketAddress;
+import java.util.ArrayList;
+import java.util.HashMap;
+import java.util.LinkedHashSet;
+import java.util.List;
+import java.util.Map;
+import java.util.Optional;
+import java.util.Set;
+import java.util.random.RandomGenerator;
+import org.xnio.XnioIoThread;
+
+/** The state of the traffic thread: running requests, the load they put on servers, and what was learned of servers. */
+final class Traffic {
+    private final XnioIoThread thread;
+    private final Blackboard blackboard;
+    private final ExchangeCodec codec;
+    private final BackendClient client;
+    private final GatewayMetrics metrics;
+    private final DecisionLog log;
+    private final RandomGenerator random;
+    private final GatewaySettings settings;
+    private final LoadBook loads = new LoadBook();
+    private final HealthBook health = new HealthBook();
+    private final GenerationPlacement generations;
+    private final PlainPlacement plain;
+    private final RepeatAllowance repeats;
+    private final Set<Relay> running = new LinkedHashSet<>();
+    private final List<StreamRelay> waiting = new ArrayList<>();
+    private final Map<String, InetSocketAddress> known = new HashMap<>();
+
+    Traffic(
+            XnioIoThread thread,
+            Blackboard blackboard,
+            ExchangeCodec codec,
+            BackendClient client,
+            GatewaySettings settings,
+            GatewayMetrics metrics,
+            DecisionLog log,
+            RandomGenerator random) {
+        this.thread = thread;
+        this.blackboard = blackboard;
+        this.codec = codec;
+        this.client = client;
+        this.settings = settings;
+        this.metrics = metrics;
+        this.log = log;
+        this.random = random;
+        generations = new GenerationPlacement(loads, health, settings.zone(), settings.regions());
+        plain = new PlainPlacement(loads, health, settings.zone(), settings.regions());
+        repeats = new RepeatAllowance(settings.repeatRatio(), settings.repeatWindowMillis(), settings.repeatSlack());
+    }
+
+    XnioIoThread thread() {
+        return thread;
+    }
+
+    ExchangeCodec codec() {
+        return codec;
+    }
+
+    BackendClient client() {
+        return client;
+    }
+
+    GatewayMetrics metrics() {
+        return metrics;
+    }
+
+    DecisionLog log() {
+        return log;
+    }
+
+    RandomGenerator random() {
+        return random;
+    }
+
+    GatewaySettings settings() {
+        return settings;
+    }
+
+    LoadBook loads() {
+        return loads;
+    }
+
+    HealthBook health() {
+        return health;
+    }
+
+    GenerationPlacement generations() {
+        return generations;
+    }
+
+    PlainPlacement plain() {
+        return plain;
+    }
+
+    RepeatAllowance repeats() {
+        return repeats;
+    }
+
+    FleetSnapshot fleet() {
+        return blackboard.get(FleetSnapshot.KEY).orElse(FleetSnapshot.EMPTY);
+    }
+
+    Optional<FleetServer> server(String id) {
+        return fleet().server(id);
+    }
+
+    void started(Relay relay) {
+        running.add(relay);
+    }
+
+    void ended(Relay relay) {
+        running.remove(relay);
+        if (relay instanceof StreamRelay stream) {
+            waiting.remove(stream);
+        }
+        thread.execute(this::placeWaiting);
+    }
+
+    /** Returns the number of requests that have no complete response yet. */
+    int running() {
+        return running.size();
+    }
+
+    /** Returns the running requests, a copy. */
+    List<Relay> relays() {
+        return List.copyOf(running);
+    }
+
+    /** Lets a stream wait until a server has room. */
+    void await(StreamRelay stream) {
+        int index = 0;
+        while (index < waiting.size() && !isBefore(stream, waiting.get(index))) {
+            index++;
+        }
+        waiting.add(index, stream);
+    }
+
+    /** Returns whether a stream waits for room. */
+    boolean isAnyWaiting() {
+        return !waiting.isEmpty();
+    }
+
+    /** Offers room to the streams that wait, the most urgent and oldest first. */
+    void placeWaiting() {
+        for (StreamRelay stream : List.copyOf(waiting)) {
+            if (stream.tryPlace()) {
+                waiting.remove(stream);
+            }
+        }
+    }
+
+    /** Handles a new view of the fleet: leaving servers lose their idle connections and their streams move. */
+    void fleetChanged() {
+        FleetSnapshot fleet = fleet();
+        for (FleetServer server : fleet.all()) {
+            InetSocketAddress before = known.put(server.id(), server.record().address());
+            if (before != null && !before.equals(server.record().address())) {
+                client.forget(before);
+                health.forget(server.id());
+            }
+            if (!server.isReady()) {
+                client.forget(server.record().address());
+            }
+        }
+        known.keySet().removeIf(id -> {
+            boolean isGone = fleet.server(id).isEmpty();
+            if (isGone) {
+                health.forget(id);
+            }
+            return isGone;
+        });
+        for (Relay relay : List.copyOf(running)) {
+            relay.fleetChanged();
+        }
+        placeWaiting();
+    }
+
+    private static boolean isBefore(StreamRelay a, StreamRelay b) {
+        int rank = Integer.compare(a.request().priority(), b.request().priority());
+        return rank != 0
+                ? rank < 0
+                : a.request().arrivedAtMillis() < b.request().arrivedAtMillis();
+    }
+}
--- a/standin/src/test/java/io/hornbeamscale/standin/HttpEngineCommandsTest.java
+++ b/standin/src/test/java/io/hornbeamscale/standin/HttpEngineCommandsTest.java
@@ -3,11 +3,11 @@
 import static org.junit.jupiter.api.Assertions.assertEquals;
 
 import io.hornbeamscale.core.reconcile.EngineCommand;
-import io.hornbeamscale.platform.CallPolicy;
-import io.hornbeamscale.platform.EngineCommands;
-import io.hornbeamscale.platform.EngineCommandsContract;
-import io.hornbeamscale.platform.HttpEngineCommands;
-import io.hornbeamscale.platform.PlatformIo;
+import io.hornbeamscale.external.CallPolicy;
+import io.hornbeamscale.external.EngineCommands;
+import io.hornbeamscale.external.EngineCommandsContract;
+import io.hornbeamscale.external.HttpEngineCommands;
+import io.hornbeamscale.external.PlatformIo;
 import java.util.Random;
 import org.junit.jupiter.api.AfterEach;
 import org.junit.jupiter.api.Test;
--- a/standin/src/test/java/io/hornbeamscale/standin/HttpKeyValueStoreTest.java
+++ b/standin/src/test/java/io/hornbeamscale/standin/HttpKeyValueStoreTest.java
@@ -5,11 +5,11 @@
 
 import io.hornbeamscale.core.store.StoreCall;
 import io.hornbeamscale.core.store.StoreReply;
-import io.hornbeamscale.platform.CallPolicy;
-import io.hornbeamscale.platform.HttpKeyValueStore;
-import io.hornbeamscale.platform.KeyValueStore;
-import io.hornbeamscale.platform.KeyValueStoreContract;
-import io.hornbeamscale.platform.PlatformIo;
+import io.hornbeamscale.external.CallPolicy;
+import io.hornbeamscale.external.HttpKeyValueStore;
+import io.hornbeamscale.external.KeyValueStore;
+import io.hornbeamscale.external.KeyValueStoreContract;
+import io.hornbeamscale.external.PlatformIo;
 import java.util.Random;
 import org.junit.jupiter.api.AfterEach;
 import org.junit.jupiter.api.Test;
--- a/standin/src/test/java/io/hornbeamscale/standin/HttpVmListTest.java
+++ b/standin/src/test/java/io/hornbeamscale/standin/HttpVmListTest.java
@@ -3,11 +3,11 @@
 import static org.junit.jupiter.api.Assertions.assertEquals;
 
 import io.hornbeamscale.core.membership.VmRecord;
-import io.hornbeamscale.platform.CallPolicy;
-import io.hornbeamscale.platform.HttpVmList;
-import io.hornbeamscale.platform.PlatformIo;
-import io.hornbeamscale.platform.VmList;
-import io.hornbeamscale.platform.VmListContract;
+import io.hornbeamscale.external.CallPolicy;
+import io.hornbeamscale.external.HttpVmList;
+import io.hornbeamscale.external.PlatformIo;
+import io.hornbeamscale.external.VmList;
+import io.hornbeamscale.external.VmListContract;
 import java.util.Random;
 import org.junit.jupiter.api.AfterEach;
 import org.junit.jupiter.api.Test;
--- a/standin/src/test/java/io/hornbeamscale/standin/HttpWeightStoreTest.java
+++ b/standin/src/test/java/io/hornbeamscale/standin/HttpWeightStoreTest.java
@@ -1,10 +1,10 @@
 package io.hornbeamscale.standin;
 
-import io.hornbeamscale.platform.CallPolicy;
-import io.hornbeamscale.platform.HttpWeightStore;
-import io.hornbeamscale.platform.PlatformIo;
-import io.hornbeamscale.platform.WeightStore;
-import io.hornbeamscale.platform.WeightStoreContract;
+import io.hornbeamscale.external.CallPolicy;
+import io.hornbeamscale.external.HttpWeightStore;
+import io.hornbeamscale.external.PlatformIo;
+import io.hornbeamscale.external.WeightStore;
+import io.hornbeamscale.external.WeightStoreContract;
 import java.util.Random;
 import org.junit.jupiter.api.AfterEach;
 
--- /dev/null
+++ b/wire/src/main/java/io/hornbeamscale/wire/message/EntryNews.java
@@ -0,0 +1,44 @@
+package io.hornbeamscale.wire.message;
+
+import com.fasterxml.jackson.annotation.JsonProperty;
+import java.util.List;
+
+/**
+ * What an entry regularly tells the other entries.
+ *
+ * @param node the name of the entry's VM; null means empty
+ * @param revision the store's revision up to which the entry knows all changes
+ * @param documentVersion the version of the document in force at the entry, 0 if it has none
+ * @param loads the load that the entry has placed on backend servers; null means none
+ */
+public record EntryNews(
+        @JsonProperty("n") String node,
+        @JsonProperty("r") long revision,
+        @JsonProperty("d") long documentVersion,
+        @JsonProperty("l") List<Load> loads)
+        implements Message {
+    /** Replaces missing optional fields. */
+    public EntryNews {
+        node = node == null ? "" : node;
+        loads = loads == null ? List.of() : List.copyOf(loads);
+    }
+
+    /**
+     * The load on one backend server.
+     *
+     * @param server the id of the server; null means empty
+     * @param requests the requests that run or wait there
+     * @param tokens the memory that they will need at their end, in tokens
+     * @param prefillTokens the prompt tokens that are not read yet
+     */
+    public record Load(
+            @JsonProperty("s") String server,
+            @JsonProperty("c") int requests,
+            @JsonProperty("m") long tokens,
+            @JsonProperty("p") long prefillTokens) {
+        /** Replaces missing fields. */
+        public Load {
+            server = server == null ? "" : server;
+        }
+    }
+}
--- /dev/null
+++ b/wire/src/main/java/io/hornbeamscale/wire/message/ItemsNews.java
@@ -0,0 +1,36 @@
+package io.hornbeamscale.wire.message;
+
+import com.fasterxml.jackson.annotation.JsonProperty;
+import java.nio.ByteBuffer;
+import java.util.List;
+
+/**
+ * Items of the store that an entry passes on to another.
+ *
+ * @param revision the revision up to which the receiver knows all changes with these items
+ * @param items the items; null means none
+ */
+public record ItemsNews(
+        @JsonProperty("r") long revision, @JsonProperty("i") List<Item> items) implements Message {
+    /** Replaces missing optional fields. */
+    public ItemsNews {
+        items = items == null ? List.of() : List.copyOf(items);
+    }
+
+    /**
+     * One item.
+     *
+     * @param key the key; null means empty
+     * @param revision the revision of its last change
+     * @param value the value, read from its position, null if the item was removed
+     */
+    public record Item(
+            @JsonProperty("k") String key,
+            @JsonProperty("r") long revision,
+            @JsonProperty("v") ByteBuffer value) {
+        /** Replaces a missing key. */
+        public Item {
+            key = key == null ? "" : key;
+        }
+    }
+}
--- a/wire/src/main/java/io/hornbeamscale/wire/message/Message.java
+++ b/wire/src/main/java/io/hornbeamscale/wire/message/Message.java
@@ -31,7 +31,10 @@
     @JsonSubTypes.Type(value = LimitShare.class, name = "limit-share"),
     @JsonSubTypes.Type(value = Quarantine.class, name = "quarantine"),
     @JsonSubTypes.Type(value = ClaimForward.class, name = "claim-forward"),
-    @JsonSubTypes.Type(value = ClaimAnswer.class, name = "claim-answer")
+    @JsonSubTypes.Type(value = ClaimAnswer.class, name = "claim-answer"),
+    @JsonSubTypes.Type(value = EntryNews.class, name = "entry-news"),
+    @JsonSubTypes.Type(value = ItemsWanted.class, name = "items-wanted"),
+    @JsonSubTypes.Type(value = ItemsNews.class, name = "items-news")
 })
 public sealed interface Message
         permits AttemptMessage,
@@ -45,7 +48,10 @@
                 LimitShare,
                 Quarantine,
                 ClaimForward,
-                ClaimAnswer {
+                ClaimAnswer,
+                EntryNews,
+                ItemsWanted,
+                ItemsNews {
     /** The serialiser attribute that holds the protocol version. */
     String VERSION_ATTRIBUTE = "version";
 }
