Hand streams over while they run and copy their state ahead

Change: a copied or backed-up state is taken over by another server while the first still runs; repeated events are dropped.

--- a/core/src/main/java/io/hornbeamscale/core/placement/GenerationPlacement.java
+++ b/core/src/main/java/io/hornbeamscale/core/placement/GenerationPlacement.java
@@ -19,6 +19,12 @@
     /** The share of an engine's memory that placed requests may need at their end. */
     static final double MEMORY_SHARE = 0.94;
 
+    /** The share of an engine's memory up to which copies of other servers' generations are placed. */
+    static final double BACKUP_SHARE = 0.6;
+
+    /** The cost of an engine's full memory for a copy, in milliseconds; it spreads copies over the servers. */
+    private static final double BACKUP_MEMORY_COST = 100;
+
     /** The cost of one request that runs or waits, in milliseconds until the first token. */
     private static final double REQUEST_COST = 25;
 
@@ -103,6 +109,46 @@
         return choose(servers, engine, size, excluded, source.record().zone(), nowMillis, random);
     }
 
+    /**
+     * Chooses the server that gets a copy of a generation's state while it runs. Copies take memory that requests could
+     * use, so a server is only chosen while much of its memory is free.
+     *
+     * @param servers the servers that take requests, not null
+     * @param engine the engine, not null
+     * @param size the size of the generation, not null
+     * @param runsOn the server that runs the generation, not null
+     * @param nowMillis the present time
+     * @param random the source of jitter, not null
+     * @return the server, near the one that runs the generation if possible, empty if none has enough room
+     */
+    public Optional<FleetServer> chooseBackup(
+            Collection<FleetServer> servers,
+            EngineSpec engine,
+            GenerationSize size,
+            FleetServer runsOn,
+            long nowMillis,
+            RandomGenerator random) {
+        FleetServer best = null;
+        double bestCost = Double.POSITIVE_INFINITY;
+        for (FleetServer server : servers) {
+            if (server.id().equals(runsOn.id()) || !health.isUsable(server.id(), nowMillis)) {
+                continue;
+            }
+            ServerLoad load = loads.of(server.id(), nowMillis);
+            if (load.tokens() + size.totalTokens() > BACKUP_SHARE * engine.memoryTokens()) {
+                continue;
+            }
+            double cost = cost(server, load, runsOn.record().zone())
+                    + BACKUP_MEMORY_COST * load.tokens() / engine.memoryTokens()
+                    + random.nextDouble() * JITTER;
+            if (cost < bestCost) {
+                best = server;
+                bestCost = cost;
+            }
+        }
+        return Optional.ofNullable(best);
+    }
+
     private Optional<FleetServer> choose(
             Collection<FleetServer> servers,
             EngineSpec engine,
--- a/gateway/src/main/java/io/hornbeamscale/gateway/DecisionLog.java
+++ b/gateway/src/main/java/io/hornbeamscale/gateway/DecisionLog.java
@@ -40,27 +40,35 @@
         }
     }
 
-    /** A step of a move has ended. */
-    void moved(RelayRequest request, FleetServer from, FleetServer to, boolean isLast, ExchangeCodec.MoveReply reply) {
+    /** The state of a stream is about to be copied. */
+    void moveStarted(RelayRequest request, FleetServer from, FleetServer to) {
+        if (isAllowed("move_started")) {
+            requests.info(
+                    line("move_started", request).with("server", from.id()).with("target", to.id()));
+        }
+    }
+
+    /** A copy of a stream's state has ended. */
+    void moved(RelayRequest request, FleetServer from, FleetServer to, ExchangeCodec.MoveReply reply) {
         if (isAllowed("moved")) {
             requests.info(line("moved", request)
                     .with("server", from.id())
                     .with("target", to.id())
-                    .with("isLast", isLast)
                     .with("outcome", reply.outcome().name())
                     .with("events", reply.events()));
         }
     }
 
     /** A request has ended. */
-    void requestEnded(RelayRequest request, int status, long millis, String why) {
+    void requestEnded(RelayRequest request, int status, long millis, String why, String detail) {
         if (isAllowed("ended")) {
             requests.info(line("ended", request)
                     .with("route", request.route().name())
                     .with("status", status)
                     .with("millis", millis)
                     .with("documentVersion", request.documentVersion())
-                    .with("why", why));
+                    .with("why", why)
+                    .with("detail", detail));
         }
     }
 
--- a/gateway/src/main/java/io/hornbeamscale/gateway/Relay.java
+++ b/gateway/src/main/java/io/hornbeamscale/gateway/Relay.java
@@ -66,6 +66,11 @@
     /** Handles a new view of the fleet. */
     abstract void fleetChanged();
 
+    /** Returns what the line at the request's end says beside its status. */
+    String detail() {
+        return "";
+    }
+
     /** Responds with a server's whole response. */
     final void passOn(int status, HeaderMap headers, byte[] body, String why) {
         if (!end()) {
@@ -145,6 +150,6 @@
     private void finished(int status, String why) {
         long millis = ControlLoop.now() - request.arrivedAtMillis();
         traffic.metrics().ended(request.route().kind(), status, millis);
-        traffic.log().requestEnded(request, status, millis, why);
+        traffic.log().requestEnded(request, status, millis, why, detail());
     }
 }
--- a/gateway/src/main/java/io/hornbeamscale/gateway/RelayRequest.java
+++ b/gateway/src/main/java/io/hornbeamscale/gateway/RelayRequest.java
@@ -50,6 +50,15 @@
         return deadlineMillis - nowMillis;
     }
 
+    /** Returns the id of the last event that the caller has of the stream, 0 if it begins anew. */
+    long lastEventId() {
+        try {
+            return head.lastEventId().map(Long::parseLong).orElse(0L);
+        } catch (NumberFormatException e) {
+            return 0;
+        }
+    }
+
     /** Returns the rank of the request, 0 is the most urgent. */
     int priority() {
         int own = customer.map(Customer::priority).orElse(-1);
--- a/gateway/src/main/java/io/hornbeamscale/gateway/StreamLeg.java
+++ b/gateway/src/main/java/io/hornbeamscale/gateway/StreamLeg.java
@@ -4,18 +4,22 @@
 import io.hornbeamscale.core.placement.ServerLoad;
 import io.hornbeamscale.core.route.Customer;
 import io.undertow.util.HeaderMap;
+import java.io.ByteArrayOutputStream;
 import java.nio.ByteBuffer;
 import java.util.Optional;
 
 /** The part of a stream that one server makes. All methods run on the traffic thread. */
 final class StreamLeg implements BackendExchange.Listener {
     private static final long CONNECT_MILLIS = 400;
+    private static final int OK = 200;
     private static final int MISDIRECTED = 421;
 
     private final StreamRelay relay;
     private final FleetServer server;
     private final Optional<SendFields.Continuation> continuation;
-    private final StreamRelay.Whole whole = new StreamRelay.Whole();
+    private final Optional<FleetServer> backup;
+    private final EventSplitter events;
+    private final ByteArrayOutputStream whole = new ByteArrayOutputStream();
     private ServerLoad load;
     private BackendExchange exchange;
     private long sentAtMillis;
@@ -25,10 +29,26 @@
     private boolean hasEvents;
     private boolean isEnded;
 
-    StreamLeg(StreamRelay relay, FleetServer server, Optional<SendFields.Continuation> continuation) {
+    /**
+     * Creates a leg that is not sent.
+     *
+     * @param relay the stream
+     * @param server the server
+     * @param continuation the state to go on from, empty for a new run
+     * @param backup the server that gets a copy of the state while the leg runs, empty for none
+     * @param lastId the id of the last event that the caller has, 0 if it has none
+     */
+    StreamLeg(
+            StreamRelay relay,
+            FleetServer server,
+            Optional<SendFields.Continuation> continuation,
+            Optional<FleetServer> backup,
+            long lastId) {
         this.relay = relay;
         this.server = server;
         this.continuation = continuation;
+        this.backup = backup;
+        this.events = new EventSplitter(lastId);
         this.load = continuation.isPresent()
                 ? new ServerLoad(1, relay.size().totalTokens(), 0)
                 : relay.size().load();
@@ -39,6 +59,7 @@
         Traffic traffic = relay.traffic();
         RelayRequest request = relay.request();
         traffic.loads().add(server.id(), load);
+        backup.ifPresent(b -> traffic.loads().add(b.id(), backupLoad()));
         traffic.health().sent(server.id(), nowMillis);
         long remaining = Math.max(1, request.remainingMillis(nowMillis) - Relay.RETURN_MILLIS);
         SendFields fields = new SendFields(
@@ -47,7 +68,7 @@
                 remaining,
                 Optional.empty(),
                 continuation,
-                Optional.empty());
+                backup.map(b -> b.record().address()));
         BackendClient.Request call = new BackendClient.Request(
                 request.method(),
                 request.target(),
@@ -64,32 +85,31 @@
         return server;
     }
 
-    boolean isContinuation() {
-        return continuation.isPresent();
+    Optional<FleetServer> backup() {
+        return backup;
     }
 
     boolean isSent() {
         return exchange != null && exchange.isSent();
     }
 
+    boolean isEnded() {
+        return isEnded;
+    }
+
+    /** Returns whether the run has begun to make events. */
     boolean hasEvents() {
         return hasEvents;
     }
 
-    /** Returns true once, when the first event of this leg has arrived. */
-    boolean isFirstEvent() {
-        boolean isFirst = !hasEvents;
-        hasEvents = true;
-        return isFirst;
+    /** Returns the id of the last event that the caller has, as far as this leg knows. */
+    long lastId() {
+        return events.lastId();
     }
 
-    /** Notes that the engine has read the prompt. */
-    void prefillDone() {
-        hasEvents = true;
-        if (load.prefillTokens() > 0 && !isEnded) {
-            relay.traffic().loads().remove(server.id(), new ServerLoad(0, 0, load.prefillTokens()));
-            load = new ServerLoad(load.requests(), load.tokens(), 0);
-        }
+    /** Skips events that the caller got from the leg before. */
+    void skipTo(long id) {
+        events.skipTo(id);
     }
 
     void cancel() {
@@ -110,7 +130,7 @@
             failed(BackendExchange.Failure.BROKEN, "the response belongs to another request");
             return;
         }
-        if (isNotRun || !StreamRelay.isStream(code)) {
+        if (!isStream()) {
             return;
         }
         if (!head.hasStamp()) {
@@ -119,16 +139,32 @@
             return;
         }
         relay.traffic().health().answered(server.id(), false, ControlLoop.now() - sentAtMillis);
-        relay.accepted(code, found);
+        relay.accepted(this, code, found);
     }
 
     @Override
     public void received(ByteBuffer bytes) {
-        if (!isNotRun && StreamRelay.isStream(status)) {
-            relay.received(this, bytes);
-        } else {
-            whole.add(bytes);
+        if (!isStream()) {
+            byte[] copy = new byte[bytes.remaining()];
+            bytes.get(copy);
+            whole.writeBytes(copy);
+            return;
+        }
+        byte[] found = events.feed(bytes);
+        if (found.length == 0) {
+            return;
+        }
+        boolean isFirst = !hasEvents;
+        hasEvents = true;
+        if (events.hasGap()) {
+            exchange.cancel();
+            failed(BackendExchange.Failure.BROKEN, "an event is missing before event " + events.lastId());
+            return;
+        }
+        if (isFirst) {
+            prefillDone();
         }
+        relay.received(this, found, isFirst);
     }
 
     @Override
@@ -139,11 +175,13 @@
         if (isNotRun) {
             relay.traffic().health().answered(server.id(), status == MISDIRECTED, ControlLoop.now() - sentAtMillis);
             relay.notRun(this, "server " + server.id() + " refused with status " + status);
-        } else if (StreamRelay.isStream(status)) {
-            relay.completed(this);
-        } else {
+        } else if (!isStream()) {
             relay.traffic().health().answered(server.id(), true, ControlLoop.now() - sentAtMillis);
-            relay.failedAtServer(this, status, headers, whole.bytes());
+            relay.failedAtServer(this, status, headers, whole.toByteArray());
+        } else if (events.hasPart()) {
+            relay.broken(this, "the stream ended within an event");
+        } else {
+            relay.completed(this);
         }
     }
 
@@ -158,18 +196,33 @@
             relay.notSent(this, reason);
             return;
         }
-        if (!relay.isMoveStopping()) {
-            relay.traffic().health().broke(server.id(), now);
-        }
+        relay.traffic().health().broke(server.id(), now);
         relay.broken(this, "server " + server.id() + ": " + reason);
     }
 
+    private boolean isStream() {
+        return status == OK && !isNotRun;
+    }
+
+    private ServerLoad backupLoad() {
+        return new ServerLoad(0, relay.size().totalTokens(), 0);
+    }
+
+    /** Notes that the engine has read the prompt. */
+    private void prefillDone() {
+        if (load.prefillTokens() > 0 && !isEnded) {
+            relay.traffic().loads().remove(server.id(), new ServerLoad(0, 0, load.prefillTokens()));
+            load = new ServerLoad(load.requests(), load.tokens(), 0);
+        }
+    }
+
     private boolean end() {
         if (isEnded) {
             return false;
         }
         isEnded = true;
         relay.traffic().loads().remove(server.id(), load);
+        backup.ifPresent(b -> relay.traffic().loads().remove(b.id(), backupLoad()));
         return true;
     }
 }
--- a/gateway/src/main/java/io/hornbeamscale/gateway/StreamRelay.java
+++ b/gateway/src/main/java/io/hornbeamscale/gateway/StreamRelay.java
@@ -6,8 +6,7 @@
 import io.hornbeamscale.core.route.EngineSpec;
 import io.undertow.server.HttpServerExchange;
 import io.undertow.util.HeaderMap;
-import java.io.ByteArrayOutputStream;
-import java.nio.ByteBuffer;
+import java.net.InetSocketAddress;
 import java.util.HashSet;
 import java.util.List;
 import java.util.Optional;
@@ -19,8 +18,6 @@
  * server, which goes on where the first one stopped, and the caller sees a single stream.
  */
 final class StreamRelay extends Relay {
-    private static final int OK = 200;
-
     /** How often a stream is offered to servers that refuse it. */
     private static final int MAX_OFFERS = 3;
 
@@ -29,17 +26,35 @@
 
     private static final long RETRY_AFTER_MILLIS = 600;
 
+    /**
+     * How long two servers may work on the stream while it is handed over, in milliseconds. The platform allows 400 from
+     * the start of the second run.
+     */
+    private static final long OVERLAP_MILLIS = 300;
+
+    /** How long the second server may take until it goes on, in milliseconds; callers leave after about 6,000. */
+    private static final long HAND_OVER_MILLIS = 4_000;
+
+    /** The expected length of a response, in tokens, from which its state is copied while it runs. */
+    private static final long BACKUP_TOKENS = 100;
+
     private final GenerationSize size;
-    private final EventSplitter events = new EventSplitter();
     private final Set<String> refused = new HashSet<>();
     private int offers;
     private StreamLeg leg;
+    private StreamLeg next;
     private StreamMove move;
     private boolean hasRun;
+    private long firstEventMillis = -1;
+    private long lastEventAtMillis;
+    private long longestGapMillis;
+    private long lastId;
+    private int handOvers;
 
     StreamRelay(Traffic traffic, HttpServerExchange exchange, RelayRequest request) {
         super(traffic, exchange, request);
         this.size = request.size();
+        this.lastId = request.lastEventId();
     }
 
     @Override
@@ -54,6 +69,9 @@
         if (move != null) {
             move.abandon();
         }
+        if (next != null) {
+            next.cancel();
+        }
         if (leg != null) {
             leg.cancel();
         }
@@ -66,7 +84,7 @@
 
     @Override
     void fleetChanged() {
-        moveIfLeaving();
+        leaveIfNeeded();
     }
 
     /** Offers the request to a server with room; returns whether it need not wait any longer. */
@@ -75,24 +93,18 @@
             return true;
         }
         long now = ControlLoop.now();
-        List<FleetServer> servers = traffic().fleet().ready(request().service().name());
-        Optional<FleetServer> chosen = traffic()
-                .generations()
-                .choose(servers, engine(), size, refused, now, traffic().random());
+        List<FleetServer> servers = servers();
+        Optional<FleetServer> chosen =
+                traffic().generations().choose(servers, engine(), size, refused, now, traffic().random());
         if (chosen.isEmpty()) {
             return false;
         }
         offers++;
-        startLeg(chosen.get(), Optional.empty(), now);
+        leg = new StreamLeg(this, chosen.get(), Optional.empty(), backupFor(chosen.get(), now), lastId);
+        leg.begin(now);
         return true;
     }
 
-    /** Starts to run the request, or to go on with it, at a server. */
-    void startLeg(FleetServer server, Optional<SendFields.Continuation> continuation, long nowMillis) {
-        leg = new StreamLeg(this, server, continuation);
-        leg.begin(nowMillis);
-    }
-
     EngineSpec engine() {
         return request().service().engine().orElseThrow();
     }
@@ -101,21 +113,43 @@
         return size;
     }
 
-    EventSplitter events() {
-        return events;
-    }
-
-    StreamLeg leg() {
-        return leg;
+    /** Lets another server go on with the stream from a copy of its state. */
+    void handOver(FleetServer to, InetSocketAddress owner, String handle) {
+        if (isEnded()) {
+            return;
+        }
+        long now = ControlLoop.now();
+        handOvers++;
+        traffic().repeats().forceRepeat(request().service().name(), now);
+        Optional<String> last = lastId > 0 ? Optional.of(Long.toString(lastId)) : Optional.empty();
+        StreamLeg second = new StreamLeg(
+                this,
+                to,
+                Optional.of(new SendFields.Continuation(owner, handle, last)),
+                backupFor(to, now),
+                lastId);
+        next = second;
+        second.begin(now);
+        after(OVERLAP_MILLIS, () -> {
+            if (next == second && !leg.isEnded()) {
+                // From here on the second server may have begun, and both must not run.
+                leg.cancel();
+            }
+        });
+        after(HAND_OVER_MILLIS, () -> {
+            if (next == second) {
+                lost("server " + to.id() + " did not go on with the stream in time");
+            }
+        });
     }
 
     /** The server refused the request without running it. */
     void notRun(StreamLeg from, String why) {
-        long now = ControlLoop.now();
-        if (from.isContinuation()) {
-            lost("the continuation was refused: " + why);
+        if (from == next) {
+            handOverFailed(from, why);
             return;
         }
+        long now = ControlLoop.now();
         refused.add(from.server().id());
         leg = null;
         boolean mayRepeat = offers < MAX_OFFERS
@@ -133,11 +167,11 @@
 
     /** No connection to the server could be opened. */
     void notSent(StreamLeg from, String why) {
-        traffic().log().repeated(request(), from.server(), why);
-        if (from.isContinuation()) {
-            lost("the continuation could not be sent: " + why);
+        if (from == next) {
+            handOverFailed(from, why);
             return;
         }
+        traffic().log().repeated(request(), from.server(), why);
         refused.add(from.server().id());
         leg = null;
         if (offers >= MAX_OFFERS) {
@@ -148,48 +182,47 @@
     }
 
     /** The head of a successful response has arrived. */
-    void accepted(int status, HeaderMap headers) {
+    void accepted(StreamLeg from, int status, HeaderMap headers) {
         hasRun = true;
+        if (from == next) {
+            next = null;
+            leg.cancel();
+            leg = from;
+            leg.skipTo(lastId);
+        }
         if (!response().isStarted()) {
             startPassing(status, headers);
         }
     }
 
-    /** Events have arrived. */
-    void received(StreamLeg from, ByteBuffer bytes) {
-        hasRun = true;
-        boolean isFirst = events.events() == 0;
-        byte[] whole = events.feed(bytes);
-        if (whole.length == 0) {
+    /** Events have arrived that the caller lacks. */
+    void received(StreamLeg from, byte[] events, boolean isFirstOfLeg) {
+        if (from != leg) {
             return;
         }
-        response().write(whole);
-        if (isFirst) {
-            traffic().metrics().firstEvent(ControlLoop.now() - request().arrivedAtMillis());
-        }
-        if (isFirst || from.isFirstEvent()) {
-            from.prefillDone();
-            moveIfLeaving();
+        lastId = from.lastId();
+        response().write(events);
+        noteEvent();
+        if (isFirstOfLeg) {
+            leaveIfNeeded();
         }
     }
 
     /** The server has ended the stream. */
     void completed(StreamLeg from) {
-        if (events.hasPart()) {
-            broken(from, "the stream ended within an event");
+        if (from != leg) {
+            lost("the stream ended before it was handed over");
             return;
         }
-        finishPassing("server " + from.server().id() + ", " + events.events() + " events");
-        if (move != null) {
-            move.abandon();
-        }
+        finishPassing("server " + from.server().id());
+        cancelSends();
     }
 
     /** The server answered with a failure, after it may have run the request. */
     void failedAtServer(StreamLeg from, int status, HeaderMap headers, byte[] body) {
         hasRun = true;
-        if (response().isStarted()) {
-            lost("the continuation ended with status " + status);
+        if (from == next) {
+            handOverFailed(from, "status " + status);
         } else {
             passOn(status, headers, body, "server " + from.server().id());
         }
@@ -198,74 +231,127 @@
     /** The connection to the server broke, or its response could not be understood. */
     void broken(StreamLeg from, String why) {
         hasRun = true;
-        events.dropPart();
-        if (isMoveStopping()) {
-            move.sourceEnded();
+        if (from == next) {
+            handOverFailed(from, why);
+            return;
+        }
+        if (next != null) {
+            // The other server goes on, or the time for that runs out.
             return;
         }
-        lost(why);
+        Optional<FleetServer> copy = usableBackup();
+        if (copy.isPresent() && response().isStarted()) {
+            traffic().log().repeated(request(), from.server(), why);
+            handOver(copy.get(), copy.get().record().address(), request().id());
+        } else {
+            lost(why);
+        }
     }
 
-    /** Nothing can continue the stream. */
-    void lost(String why) {
-        fail(ErrorKind.GENERATION_LOST, -1, why);
+    /** Forgets the move after its end. */
+    void moveEnded() {
+        move = null;
     }
 
-    /** Returns whether the end of the present leg is expected. */
-    boolean isMoveStopping() {
-        return move != null && move.isStopping();
+    @Override
+    String detail() {
+        return "events to " + lastId + ", first after " + firstEventMillis + " ms, longest gap " + longestGapMillis
+                + " ms, hand-overs " + handOvers;
     }
 
-    /** Forgets the move after its end. */
-    void moveEnded() {
-        move = null;
+    private void handOverFailed(StreamLeg from, String why) {
+        next = null;
+        traffic().log().repeated(request(), from.server(), why);
+        if (leg.isEnded()) {
+            lost("nothing can go on with the stream: " + why);
+            return;
+        }
+        startMove();
     }
 
-    private void moveIfLeaving() {
-        if (isEnded() || move != null || leg == null || !engine().canMove() || !leg.hasEvents()) {
+    private void leaveIfNeeded() {
+        if (isEnded() || move != null || next != null || leg == null || !leg.hasEvents() || leg.isEnded()) {
             return;
         }
-        boolean isLeaving =
-                traffic().server(leg.server().id()).map(s -> !s.isReady()).orElse(true);
-        if (isLeaving) {
+        boolean isLeaving = traffic()
+                .server(leg.server().id())
+                .map(s -> !s.isReady())
+                .orElse(true);
+        if (!isLeaving) {
+            return;
+        }
+        Optional<FleetServer> copy = usableBackup();
+        if (copy.isPresent()) {
+            handOver(copy.get(), copy.get().record().address(), request().id());
+        } else {
+            startMove();
+        }
+    }
+
+    private void startMove() {
+        if (engine().canMove()) {
             move = new StreamMove(this, leg);
             move.begin(ControlLoop.now());
         }
     }
 
-    private void awaitRoom(long nowMillis) {
-        long waited = nowMillis - request().arrivedAtMillis();
-        long limit = (long) (request().route().objectiveMillis() * WAIT_SHARE) - waited;
-        if (limit <= 0) {
-            fail(ErrorKind.OVERLOADED, RETRY_AFTER_MILLIS, "no server has room");
-            return;
-        }
-        traffic().await(this);
-        traffic().thread().executeAfter(this::waitedTooLong, limit, TimeUnit.MILLISECONDS);
+    private Optional<FleetServer> usableBackup() {
+        return leg.backup()
+                .flatMap(b -> traffic().server(b.id()))
+                .filter(b -> b.isReady() && traffic().health().isUsable(b.id(), ControlLoop.now()));
     }
 
-    private void waitedTooLong() {
-        if (!isEnded() && leg == null) {
-            fail(ErrorKind.OVERLOADED, RETRY_AFTER_MILLIS, "no server has room");
+    private Optional<FleetServer> backupFor(FleetServer server, long nowMillis) {
+        if (!engine().canBackUp() || size.expectedTokens() < BACKUP_TOKENS) {
+            return Optional.empty();
         }
+        return traffic().generations().chooseBackup(servers(), engine(), size, server, nowMillis, traffic().random());
     }
 
-    /** Collects the body of a response that is not a stream. */
-    static final class Whole {
-        private final ByteArrayOutputStream out = new ByteArrayOutputStream();
+    private List<FleetServer> servers() {
+        return traffic().fleet().ready(request().service().name());
+    }
 
-        void add(ByteBuffer bytes) {
-            byte[] copy = new byte[bytes.remaining()];
-            bytes.get(copy);
-            out.writeBytes(copy);
+    private void noteEvent() {
+        long now = ControlLoop.now();
+        if (firstEventMillis < 0) {
+            firstEventMillis = now - request().arrivedAtMillis();
+            traffic().metrics().firstEvent(firstEventMillis);
+        } else {
+            longestGapMillis = Math.max(longestGapMillis, now - lastEventAtMillis);
         }
+        lastEventAtMillis = now;
+    }
 
-        byte[] bytes() {
-            return out.toByteArray();
+    private void lost(String why) {
+        fail(ErrorKind.GENERATION_LOST, -1, why);
+    }
+
+    private void awaitRoom(long nowMillis) {
+        long waited = nowMillis - request().arrivedAtMillis();
+        long limit = (long) (request().route().objectiveMillis() * WAIT_SHARE) - waited;
+        if (limit <= 0) {
+            fail(ErrorKind.OVERLOADED, RETRY_AFTER_MILLIS, "no server has room");
+            return;
         }
+        traffic().await(this);
+        after(limit, () -> {
+            if (leg == null) {
+                fail(ErrorKind.OVERLOADED, RETRY_AFTER_MILLIS, "no server has room");
+            }
+        });
     }
 
-    static boolean isStream(int status) {
-        return status == OK;
+    private void after(long millis, Runnable task) {
+        traffic()
+                .thread()
+                .executeAfter(
+                        () -> {
+                            if (!isEnded()) {
+                                task.run();
+                            }
+                        },
+                        millis,
+                        TimeUnit.MILLISECONDS);
     }
 }
