Keep copies within a region; learn the pace of servers; tell placements at once

Cause: copies between regions share a 21 Mbit/s link and never end, so streams that left the small region were cut; long streams on servers that are 1.3x slower exceeded the pause of 180 ms; several entries chose the same server within 200 ms.

--- a/core/src/main/java/io/hornbeamscale/core/placement/GenerationPlacement.java
+++ b/core/src/main/java/io/hornbeamscale/core/placement/GenerationPlacement.java
@@ -6,6 +6,7 @@
 import java.util.Map;
 import java.util.Optional;
 import java.util.Set;
+import java.util.function.ToDoubleFunction;
 import java.util.random.RandomGenerator;
 
 /**
@@ -13,14 +14,17 @@
  * The memory that all requests of a server will need at their end must fit, since an engine that runs out of memory
  * interrupts a running response. Among the servers with room, the one wins on which the first token comes soonest and
  * the other responses are slowed least; near servers are preferred as long as they are not more than a few requests
- * busier.
+ * busier. Long responses keep away from slow servers, which stretch the pauses between tokens; short ones go there.
  */
 public final class GenerationPlacement {
     /** The share of an engine's memory that placed requests may need at their end. */
     static final double MEMORY_SHARE = 0.94;
 
     /** The share of an engine's memory up to which copies of other servers' generations are placed. */
-    static final double BACKUP_SHARE = 0.6;
+    static final double BACKUP_SHARE = 0.4;
+
+    /** The expected length from which a response counts as long, in tokens. */
+    private static final long LONG_TOKENS = 100;
 
     /** The cost of an engine's full memory for a copy, in milliseconds; it spreads copies over the servers. */
     private static final double BACKUP_MEMORY_COST = 100;
@@ -39,14 +43,21 @@
     /** The cost of a server that fails every request, in milliseconds. */
     private static final double FAILURE_COST = 1_500;
 
-    /** The cost of a server that is still slow after its start, in milliseconds. */
-    private static final double SLOW_START_COST = 150;
+    /** The cost of a server that is still slow after its start, in milliseconds; others are taken while they have room. */
+    private static final double SLOW_START_COST = 2_000;
+
+    /** The cost of a server that is twice as slow as the fastest, in milliseconds, for long and for short responses. */
+    private static final double LONG_PACE_COST = 600;
+
+    private static final double SHORT_PACE_COST = 150;
 
     /** The range of the random cost that keeps several entries from choosing the same server, in milliseconds. */
     private static final double JITTER = 12;
 
     private final LoadBook loads;
     private final HealthBook health;
+    private final PaceBook pace;
+    private final CopyLinks links;
     private final String zone;
     private final Map<String, String> regions;
 
@@ -55,12 +66,22 @@
      *
      * @param loads the load of the servers, not null
      * @param health how well servers answered, not null
+     * @param pace how fast servers are, not null
+     * @param links how busy the links between servers are, not null
      * @param zone the zone of this entry, not null
      * @param regions the region of each zone, not null
      */
-    public GenerationPlacement(LoadBook loads, HealthBook health, String zone, Map<String, String> regions) {
+    public GenerationPlacement(
+            LoadBook loads,
+            HealthBook health,
+            PaceBook pace,
+            CopyLinks links,
+            String zone,
+            Map<String, String> regions) {
         this.loads = loads;
         this.health = health;
+        this.pace = pace;
+        this.links = links;
         this.zone = zone;
         this.regions = Map.copyOf(regions);
     }
@@ -83,7 +104,12 @@
             Set<String> excluded,
             long nowMillis,
             RandomGenerator random) {
-        return choose(servers, engine, size, excluded, zone, nowMillis, random);
+        return cheapest(servers, excluded, nowMillis, random, server -> {
+            ServerLoad load = loads.of(server.id(), nowMillis);
+            return hasRoom(load, engine, size)
+                    ? cost(server, load, zone) + paceCost(server, servers, size)
+                    : Double.POSITIVE_INFINITY;
+        });
     }
 
     /**
@@ -106,7 +132,14 @@
             Set<String> excluded,
             long nowMillis,
             RandomGenerator random) {
-        return choose(servers, engine, size, excluded, source.record().zone(), nowMillis, random);
+        return cheapest(servers, excluded, nowMillis, random, server -> {
+            ServerLoad load = loads.of(server.id(), nowMillis);
+            return hasRoom(load, engine, size) && isSameRegion(server, source)
+                    ? cost(server, load, source.record().zone())
+                            + paceCost(server, servers, size)
+                            + copyCost(server, source, engine, size, nowMillis)
+                    : Double.POSITIVE_INFINITY;
+        });
     }
 
     /**
@@ -128,46 +161,32 @@
             FleetServer runsOn,
             long nowMillis,
             RandomGenerator random) {
-        FleetServer best = null;
-        double bestCost = Double.POSITIVE_INFINITY;
-        for (FleetServer server : servers) {
-            if (server.id().equals(runsOn.id()) || !health.isUsable(server.id(), nowMillis)) {
-                continue;
-            }
+        return cheapest(servers, Set.of(runsOn.id()), nowMillis, random, server -> {
             ServerLoad load = loads.of(server.id(), nowMillis);
-            if (load.tokens() + size.totalTokens() > BACKUP_SHARE * engine.memoryTokens()) {
-                continue;
+            boolean hasMemory = load.tokens() + size.totalTokens() <= BACKUP_SHARE * engine.memoryTokens();
+            if (!hasMemory || !isSameRegion(server, runsOn)) {
+                return Double.POSITIVE_INFINITY;
             }
-            double cost = cost(server, load, runsOn.record().zone())
+            return cost(server, load, runsOn.record().zone())
                     + BACKUP_MEMORY_COST * load.tokens() / engine.memoryTokens()
-                    + random.nextDouble() * JITTER;
-            if (cost < bestCost) {
-                best = server;
-                bestCost = cost;
-            }
-        }
-        return Optional.ofNullable(best);
+                    + paceCost(server, servers, size)
+                    + copyCost(server, runsOn, engine, size, nowMillis);
+        });
     }
 
-    private Optional<FleetServer> choose(
+    private Optional<FleetServer> cheapest(
             Collection<FleetServer> servers,
-            EngineSpec engine,
-            GenerationSize size,
             Set<String> excluded,
-            String from,
             long nowMillis,
-            RandomGenerator random) {
+            RandomGenerator random,
+            ToDoubleFunction<FleetServer> costs) {
         FleetServer best = null;
         double bestCost = Double.POSITIVE_INFINITY;
         for (FleetServer server : servers) {
             if (excluded.contains(server.id()) || !health.isUsable(server.id(), nowMillis)) {
                 continue;
             }
-            ServerLoad load = loads.of(server.id(), nowMillis);
-            if (!hasRoom(load, engine, size)) {
-                continue;
-            }
-            double cost = cost(server, load, from) + random.nextDouble() * JITTER;
+            double cost = costs.applyAsDouble(server) + random.nextDouble() * JITTER;
             if (cost < bestCost) {
                 best = server;
                 bestCost = cost;
@@ -176,6 +195,14 @@
         return Optional.ofNullable(best);
     }
 
+    /**
+     * Returns whether state can be copied between two servers in useful time. The link between regions carries about
+     * 20 Mbit/s for everything, and the state of one generation has several Gbit.
+     */
+    private boolean isSameRegion(FleetServer server, FleetServer other) {
+        return Distance.between(server.record().zone(), other.record().zone(), regions) != Distance.OTHER_REGION;
+    }
+
     private static boolean hasRoom(ServerLoad load, EngineSpec engine, GenerationSize size) {
         if (load.requests() == 0) {
             return true;
@@ -184,6 +211,17 @@
                 && load.tokens() + size.totalTokens() <= MEMORY_SHARE * engine.memoryTokens();
     }
 
+    private double paceCost(FleetServer server, Collection<FleetServer> servers, GenerationSize size) {
+        double excess = pace.factor(server.id(), servers) - 1;
+        return excess * (size.expectedTokens() >= LONG_TOKENS ? LONG_PACE_COST : SHORT_PACE_COST);
+    }
+
+    private double copyCost(
+            FleetServer server, FleetServer from, EngineSpec engine, GenerationSize size, long nowMillis) {
+        boolean isSameZone = server.record().zone().equals(from.record().zone());
+        return links.busyMillis(server.id(), nowMillis) + CopyLinks.copyMillis(engine, size.promptTokens(), isSameZone);
+    }
+
     private double cost(FleetServer server, ServerLoad load, String from) {
         double cost = load.requests() * REQUEST_COST + load.prefillTokens() / PREFILL_TOKENS_PER_MILLI;
         cost += health.failureRate(server.id()) * FAILURE_COST;
--- a/gateway/src/main/java/io/hornbeamscale/gateway/DecisionLog.java
+++ b/gateway/src/main/java/io/hornbeamscale/gateway/DecisionLog.java
@@ -1,6 +1,7 @@
 package io.hornbeamscale.gateway;
 
 import io.hornbeamscale.core.fleet.FleetServer;
+import io.hornbeamscale.core.placement.ServerLoad;
 import java.util.HashMap;
 import java.util.Map;
 import org.apache.logging.log4j.LogManager;
@@ -24,12 +25,16 @@
     private final Map<String, Budget> budgets = new HashMap<>();
 
     /** A request was sent to a server. */
-    void sent(RelayRequest request, FleetServer server, int attempt, long remainingMillis) {
+    void sent(RelayRequest request, FleetServer server, int attempt, long remainingMillis, ServerLoad load, String copy) {
         if (isAllowed("sent")) {
             requests.info(line("sent", request)
                     .with("server", server.id())
                     .with("attempt", attempt)
-                    .with("remainingMillis", remainingMillis));
+                    .with("remainingMillis", remainingMillis)
+                    .with("requestsThere", load.requests())
+                    .with("tokensThere", load.tokens())
+                    .with("prefillThere", load.prefillTokens())
+                    .with("copy", copy));
         }
     }
 
--- a/gateway/src/main/java/io/hornbeamscale/gateway/Gateway.java
+++ b/gateway/src/main/java/io/hornbeamscale/gateway/Gateway.java
@@ -23,6 +23,8 @@
 import java.util.List;
 import java.util.Map;
 import java.util.Optional;
+import java.util.Set;
+import java.util.TreeSet;
 import java.util.concurrent.TimeUnit;
 import java.util.random.RandomGenerator;
 import org.xnio.OptionMap;
@@ -47,7 +49,7 @@
     private static final long TICK_MILLIS = 50;
 
     /** The pause between two news to other entries, in milliseconds, and its part for each entry that gets them. */
-    private static final long NEWS_MILLIS = 150;
+    private static final long NEWS_MILLIS = 200;
 
     private static final long NEWS_MILLIS_PER_ENTRY = 10;
 
@@ -55,6 +57,7 @@
     private static final long BEHIND_MILLIS = 100;
 
     private static final long SWEEP_MILLIS = 1_000;
+    private static final double MICROS_PER_MILLI = 1_000;
 
     private final GatewaySettings settings;
     private final Blackboard blackboard = new Blackboard();
@@ -95,6 +98,7 @@
         this.thread = worker.getIoThread(0);
         BackendClient client = new BackendClient(thread, buffers);
         traffic = new Traffic(thread, blackboard, codec, client, settings, metrics, log, random);
+        traffic.setNews(this::collectNews);
         control = new ControlLoop("gateway", TICK_MILLIS, this::tick);
         MetadataStore store = stores.create(settings.store(), new BackendClient(thread, buffers), thread);
         follower = new StoreFollower(store, schema, fleet, control::execute, this::later, new Follows(), log);
@@ -181,14 +185,17 @@
         follower.tick(now);
         publishFleet();
         if (now >= nextNewsMillis) {
-            nextNewsMillis = now + NEWS_MILLIS + NEWS_MILLIS_PER_ENTRY * peers.size();
-            thread.execute(() -> {
-                Map<String, ServerLoad> own = traffic.loads().own();
-                control.execute(() -> sendNews(own));
-            });
+            thread.execute(this::collectNews);
         }
     }
 
+    /** Reads the load on the traffic thread and sends it from the control thread. */
+    private void collectNews() {
+        Map<String, ServerLoad> loads = traffic.loads().own();
+        Map<String, Double> pace = traffic.pace().all();
+        control.execute(() -> sendNews(loads, pace));
+    }
+
     private void publishFleet() {
         FleetSnapshot snapshot = fleet.snapshot();
         if (blackboard.get(FleetSnapshot.KEY).orElse(null) != snapshot) {
@@ -197,13 +204,23 @@
         }
     }
 
-    private void sendNews(Map<String, ServerLoad> own) {
+    private void sendNews(Map<String, ServerLoad> own, Map<String, Double> pace) {
+        long now = ControlLoop.now();
+        nextNewsMillis = now + NEWS_MILLIS + NEWS_MILLIS_PER_ENTRY * peers.size();
+        Set<String> servers = new TreeSet<>(own.keySet());
+        servers.addAll(pace.keySet());
         List<EntryNews.Load> loads = new ArrayList<>();
-        own.forEach(
-                (id, load) -> loads.add(new EntryNews.Load(id, load.requests(), load.tokens(), load.prefillTokens())));
+        for (String id : servers) {
+            ServerLoad load = own.getOrDefault(id, ServerLoad.NONE);
+            loads.add(new EntryNews.Load(
+                    id,
+                    load.requests(),
+                    load.tokens(),
+                    load.prefillTokens(),
+                    Math.round(pace.getOrDefault(id, 0.0) * MICROS_PER_MILLI)));
+        }
         peers.broadcast(
-                new EntryNews(settings.node(), follower.knownRevision(), follower.documentVersion(), loads),
-                ControlLoop.now());
+                new EntryNews(settings.node(), follower.knownRevision(), follower.documentVersion(), loads), now);
     }
 
     private static byte[] bytes(ByteBuffer buffer) {
@@ -277,7 +294,10 @@
             for (EntryNews.Load load : news.loads()) {
                 loads.put(load.server(), new ServerLoad(load.requests(), load.tokens(), load.prefillTokens()));
             }
-            thread.execute(() -> traffic.loads().told(news.node(), loads, now));
+            thread.execute(() -> {
+                traffic.loads().told(news.node(), loads, now);
+                news.loads().forEach(l -> traffic.pace().told(l.server(), l.eventMicros() / MICROS_PER_MILLI));
+            });
             if (news.revision() <= follower.knownRevision()) {
                 return;
             }
--- a/gateway/src/main/java/io/hornbeamscale/gateway/PlainRelay.java
+++ b/gateway/src/main/java/io/hornbeamscale/gateway/PlainRelay.java
@@ -125,7 +125,7 @@
             tried.add(server.id());
             offers++;
             runs++;
-            traffic().loads().add(server.id(), LOAD);
+            traffic().placed(server.id(), LOAD);
             traffic().health().sent(server.id(), nowMillis);
             long remaining = request().remainingMillis(nowMillis) - RETURN_MILLIS;
             if (mayRunAgain()) {
@@ -149,7 +149,7 @@
                     request().hasLength(),
                     isRepeatable(),
                     CONNECT_MILLIS);
-            traffic().log().sent(request(), server, offers, remaining);
+            traffic().log().sent(request(), server, offers, remaining, traffic().loads().of(server.id(), nowMillis), "");
             exchange = traffic().client().send(server.record().address(), call, this, nowMillis);
         }
 
--- a/gateway/src/main/java/io/hornbeamscale/gateway/StreamLeg.java
+++ b/gateway/src/main/java/io/hornbeamscale/gateway/StreamLeg.java
@@ -1,6 +1,7 @@
 package io.hornbeamscale.gateway;
 
 import io.hornbeamscale.core.fleet.FleetServer;
+import io.hornbeamscale.core.placement.CopyLinks;
 import io.hornbeamscale.core.placement.ServerLoad;
 import io.hornbeamscale.core.route.Customer;
 import io.undertow.util.HeaderMap;
@@ -11,6 +12,9 @@
 /** The part of a stream that one server makes. All methods run on the traffic thread. */
 final class StreamLeg implements BackendExchange.Listener {
     private static final long CONNECT_MILLIS = 400;
+    /** The events over which a server's pace is measured. */
+    private static final int PACE_EVENTS = 8;
+
     private static final int OK = 200;
     private static final int MISDIRECTED = 421;
 
@@ -25,6 +29,8 @@
     private long sentAtMillis;
     private int status;
     private HeaderMap headers;
+    private long paceFromMillis;
+    private long paceFromId;
     private boolean isNotRun;
     private boolean hasEvents;
     private boolean isEnded;
@@ -58,8 +64,8 @@
         sentAtMillis = nowMillis;
         Traffic traffic = relay.traffic();
         RelayRequest request = relay.request();
-        traffic.loads().add(server.id(), load);
-        backup.ifPresent(b -> traffic.loads().add(b.id(), backupLoad()));
+        traffic.placed(server.id(), load);
+        backup.ifPresent(b -> startBackup(b, nowMillis));
         traffic.health().sent(server.id(), nowMillis);
         long remaining = Math.max(1, request.remainingMillis(nowMillis) - Relay.RETURN_MILLIS);
         SendFields fields = new SendFields(
@@ -77,7 +83,7 @@
                 request.hasLength(),
                 false,
                 CONNECT_MILLIS);
-        traffic.log().sent(request, server, continuation.isPresent() ? 2 : 1, remaining);
+        traffic.log().sent(request, server, continuation.isPresent() ? 2 : 1, remaining, traffic.loads().of(server.id(), nowMillis), backup.map(FleetServer::id).orElse(""));
         exchange = traffic.client().send(server.record().address(), call, this, nowMillis);
     }
 
@@ -164,6 +170,7 @@
         if (isFirst) {
             prefillDone();
         }
+        notePace(ControlLoop.now());
         relay.received(this, found, isFirst);
     }
 
@@ -204,6 +211,26 @@
         return status == OK && !isNotRun;
     }
 
+    private void startBackup(FleetServer to, long nowMillis) {
+        Traffic traffic = relay.traffic();
+        traffic.loads().add(to.id(), backupLoad());
+        boolean isSameZone = to.record().zone().equals(server.record().zone());
+        double millis = CopyLinks.copyMillis(relay.engine(), relay.size().promptTokens(), isSameZone);
+        traffic.links().begin(server.id(), to.id(), millis, nowMillis);
+    }
+
+    /** Learns the server's pace from every few events. */
+    private void notePace(long nowMillis) {
+        long made = events.lastId() - paceFromId;
+        if (paceFromMillis > 0 && made >= PACE_EVENTS) {
+            relay.traffic().pace().observe(server.id(), (nowMillis - paceFromMillis) / (double) made);
+        }
+        if (paceFromMillis == 0 || made >= PACE_EVENTS) {
+            paceFromMillis = nowMillis;
+            paceFromId = events.lastId();
+        }
+    }
+
     private ServerLoad backupLoad() {
         return new ServerLoad(0, relay.size().totalTokens(), 0);
     }
--- a/gateway/src/main/java/io/hornbeamscale/gateway/StreamMove.java
+++ b/gateway/src/main/java/io/hornbeamscale/gateway/StreamMove.java
@@ -1,6 +1,7 @@
 package io.hornbeamscale.gateway;
 
 import io.hornbeamscale.core.fleet.FleetServer;
+import io.hornbeamscale.core.placement.CopyLinks;
 import io.hornbeamscale.core.placement.ServerLoad;
 import java.net.InetSocketAddress;
 import java.nio.charset.StandardCharsets;
@@ -77,7 +78,11 @@
         }
         target = chosen.get();
         reserved = new ServerLoad(1, relay.size().totalTokens(), 0);
-        relay.traffic().loads().add(target.id(), reserved);
+        relay.traffic().placed(target.id(), reserved);
+        boolean isSameZone =
+                target.record().zone().equals(source.server().record().zone());
+        double millis = CopyLinks.copyMillis(relay.engine(), relay.size().promptTokens(), isSameZone);
+        relay.traffic().links().begin(source.server().id(), target.id(), millis, nowMillis);
         relay.traffic().log().moveStarted(relay.request(), source.server(), target);
         copy();
     }
--- a/gateway/src/main/java/io/hornbeamscale/gateway/Traffic.java
+++ b/gateway/src/main/java/io/hornbeamscale/gateway/Traffic.java
@@ -4,10 +4,13 @@
 import io.hornbeamscale.core.fleet.FleetServer;
 import io.hornbeamscale.core.fleet.FleetSnapshot;
 import io.hornbeamscale.core.limit.RepeatAllowance;
+import io.hornbeamscale.core.placement.CopyLinks;
 import io.hornbeamscale.core.placement.GenerationPlacement;
 import io.hornbeamscale.core.placement.HealthBook;
 import io.hornbeamscale.core.placement.LoadBook;
+import io.hornbeamscale.core.placement.PaceBook;
 import io.hornbeamscale.core.placement.PlainPlacement;
+import io.hornbeamscale.core.placement.ServerLoad;
 import java.net.InetSocketAddress;
 import java.util.ArrayList;
 import java.util.HashMap;
@@ -16,11 +19,15 @@
 import java.util.Map;
 import java.util.Optional;
 import java.util.Set;
+import java.util.concurrent.TimeUnit;
 import java.util.random.RandomGenerator;
 import org.xnio.XnioIoThread;
 
 /** The state of the traffic thread: running requests, the load they put on servers, and what was learned of servers. */
 final class Traffic {
+    /** How long news of a placed request waits for more, in milliseconds; other entries place within this time blindly. */
+    private static final long NEWS_DELAY_MILLIS = 10;
+
     private final XnioIoThread thread;
     private final Blackboard blackboard;
     private final ExchangeCodec codec;
@@ -31,12 +38,16 @@
     private final GatewaySettings settings;
     private final LoadBook loads = new LoadBook();
     private final HealthBook health = new HealthBook();
+    private final PaceBook pace = new PaceBook();
+    private final CopyLinks links = new CopyLinks();
     private final GenerationPlacement generations;
     private final PlainPlacement plain;
     private final RepeatAllowance repeats;
     private final Set<Relay> running = new LinkedHashSet<>();
     private final List<StreamRelay> waiting = new ArrayList<>();
     private final Map<String, InetSocketAddress> known = new HashMap<>();
+    private Runnable news = () -> {};
+    private boolean isNewsDue;
 
     Traffic(
             XnioIoThread thread,
@@ -55,7 +66,7 @@
         this.metrics = metrics;
         this.log = log;
         this.random = random;
-        generations = new GenerationPlacement(loads, health, settings.zone(), settings.regions());
+        generations = new GenerationPlacement(loads, health, pace, links, settings.zone(), settings.regions());
         plain = new PlainPlacement(loads, health, settings.zone(), settings.regions());
         repeats = new RepeatAllowance(settings.repeatRatio(), settings.repeatWindowMillis(), settings.repeatSlack());
     }
@@ -96,6 +107,14 @@
         return health;
     }
 
+    PaceBook pace() {
+        return pace;
+    }
+
+    CopyLinks links() {
+        return links;
+    }
+
     GenerationPlacement generations() {
         return generations;
     }
@@ -138,6 +157,25 @@
         return List.copyOf(running);
     }
 
+    /** Counts a request that goes to a server, and tells the other entries soon. */
+    void placed(String server, ServerLoad load) {
+        loads.add(server, load);
+        if (!isNewsDue) {
+            isNewsDue = true;
+            thread.executeAfter(this::sendNews, NEWS_DELAY_MILLIS, TimeUnit.MILLISECONDS);
+        }
+    }
+
+    /** Sets what tells the other entries of the load. */
+    void setNews(Runnable task) {
+        news = task;
+    }
+
+    private void sendNews() {
+        isNewsDue = false;
+        news.run();
+    }
+
     /** Lets a stream wait until a server has room. */
     void await(StreamRelay stream) {
         int index = 0;
@@ -178,6 +216,8 @@
             boolean isGone = fleet.server(id).isEmpty();
             if (isGone) {
                 health.forget(id);
+                pace.forget(id);
+                links.forget(id);
             }
             return isGone;
         });
--- a/wire/src/main/java/io/hornbeamscale/wire/message/EntryNews.java
+++ b/wire/src/main/java/io/hornbeamscale/wire/message/EntryNews.java
@@ -30,12 +30,14 @@
      * @param requests the requests that run or wait there
      * @param tokens the memory that they will need at their end, in tokens
      * @param prefillTokens the prompt tokens that are not read yet
+     * @param eventMicros how long the server takes for an event of a stream, in microseconds, 0 if unknown
      */
     public record Load(
             @JsonProperty("s") String server,
             @JsonProperty("c") int requests,
             @JsonProperty("m") long tokens,
-            @JsonProperty("p") long prefillTokens) {
+            @JsonProperty("p") long prefillTokens,
+            @JsonProperty("e") long eventMicros) {
         /** Replaces missing fields. */
         public Load {
             server = server == null ? "" : server;
