--- a/core/src/main/java/io/hornbeamscale/core/limit/RepeatAllowance.java
+++ b/core/src/main/java/io/hornbeamscale/core/limit/RepeatAllowance.java
@@ -13,9 +13,9 @@
     /** How finely the window is divided. */
     private static final int BUCKETS = 40;
 
-    private final double ratio;
-    private final long bucketMillis;
-    private final double slack;
+    private double ratio;
+    private long bucketMillis;
+    private double slack;
     private int entries = 1;
     private final Map<String, Window> windows = new HashMap<>();
 
@@ -27,9 +27,24 @@
      * @param slack the repeats that all entries together may add in a window
      */
     public RepeatAllowance(double ratio, long windowMillis, double slack) {
-        this.ratio = Arguments.inRange(ratio, 0, 1, "ratio");
-        this.bucketMillis = Math.max(1, Arguments.positive(windowMillis, "windowMillis") / BUCKETS);
-        this.slack = slack;
+        setLimits(ratio, windowMillis, slack);
+    }
+
+    /**
+     * Replaces the limits. If the window has another length, counting begins anew.
+     *
+     * @param newRatio the repeats allowed for each request, from 0 to 1
+     * @param windowMillis the length of the window, in milliseconds
+     * @param newSlack the repeats that all entries together may add in a window
+     */
+    public void setLimits(double newRatio, long windowMillis, double newSlack) {
+        ratio = Arguments.inRange(newRatio, 0, 1, "newRatio");
+        slack = newSlack;
+        long newBucketMillis = Math.max(1, Arguments.positive(windowMillis, "windowMillis") / BUCKETS);
+        if (newBucketMillis != bucketMillis) {
+            bucketMillis = newBucketMillis;
+            windows.clear();
+        }
     }
 
     /**
--- a/daemon/src/main/java/io/hornbeamscale/daemon/GatewayCommand.java
+++ b/daemon/src/main/java/io/hornbeamscale/daemon/GatewayCommand.java
@@ -2,6 +2,7 @@
 
 import com.beust.jcommander.Parameter;
 import com.beust.jcommander.Parameters;
+import io.hornbeamscale.core.error.ServingException;
 import io.hornbeamscale.gateway.Gateway;
 import io.hornbeamscale.gateway.GatewaySettings;
 import io.hornbeamscale.platform.PlatformExchange;
@@ -11,6 +12,7 @@
 import java.nio.file.Path;
 import java.util.Optional;
 import java.util.SplittableRandom;
+import org.apache.logging.log4j.LogManager;
 
 /** Runs an entry on the users' platform until the process is asked to stop. */
 @Parameters(commandDescription = "Accept callers and send their requests straight to backend servers")
@@ -32,6 +34,15 @@
                 PlatformStore::new,
                 new SplittableRandom(settings.node().hashCode() ^ System.nanoTime()));
         gateway.start();
+        Signals.handle("HUP", () -> reload(gateway, path));
         return Stops.await("gateway", gateway::drain, gateway::isDrained, gateway);
     }
+
+    private static void reload(Gateway gateway, String path) {
+        try {
+            gateway.reload(PlatformSettings.read(Path.of(path)));
+        } catch (ServingException e) {
+            LogManager.getLogger("process").error("The settings were not reloaded; the old ones stay in force.", e);
+        }
+    }
 }
--- a/gateway/src/main/java/io/hornbeamscale/gateway/Gateway.java
+++ b/gateway/src/main/java/io/hornbeamscale/gateway/Gateway.java
@@ -133,6 +133,20 @@
         log.processEvent("start", settings.node());
     }
 
+    /**
+     * Takes the settings over that may change while the process runs: the limits on repeats and the time to stop.
+     * Addresses stay as they were.
+     *
+     * @param changed the new settings, not null
+     */
+    public void reload(GatewaySettings changed) {
+        Arguments.notNull(changed, "changed");
+        stops.setGrace(changed.graceMillis());
+        thread.execute(() -> traffic.repeats()
+                .setLimits(changed.repeatRatio(), changed.repeatWindowMillis(), changed.repeatSlack()));
+        log.processEvent("reload", settings.node());
+    }
+
     /**
      * Stops to be ready and lets running requests end.
      */
--- a/gateway/src/main/java/io/hornbeamscale/gateway/StopController.java
+++ b/gateway/src/main/java/io/hornbeamscale/gateway/StopController.java
@@ -18,13 +18,17 @@
     /** The time that one token of a stream takes, in milliseconds, as a bound on its length. */
     private static final double TOKEN_MILLIS = 12;
 
-    private final long graceMillis;
+    private volatile long graceMillis;
     private volatile long stoppedAtMillis = Long.MIN_VALUE;
 
     StopController(long graceMillis) {
         this.graceMillis = graceMillis;
     }
 
+    void setGrace(long millis) {
+        graceMillis = millis;
+    }
+
     void stop(long nowMillis) {
         stoppedAtMillis = nowMillis;
     }
