Place by the prompts that wait, and move streams also to full servers

Cause: predicted memory filled all servers at the crest (31,000 of 34,377 tokens) although engines interrupted nothing, so streams waited and then rushed to each new server, and moves found no target.

--- a/core/src/main/java/io/hornbeamscale/core/placement/GenerationPlacement.java
+++ b/core/src/main/java/io/hornbeamscale/core/placement/GenerationPlacement.java
@@ -17,8 +17,9 @@
  * busier. Long responses keep away from slow servers, which stretch the pauses between tokens; short ones go there.
  */
 public final class GenerationPlacement {
-    /** The share of an engine's memory that placed requests may need at their end. */
-    static final double MEMORY_SHARE = 0.94;
+    /** What placed requests may need at their end, as a share of an engine's memory. They end one after the other, so that
+     * the sum is not in use at one moment; at 1.6, engines began to interrupt running responses. */
+    static final double MEMORY_SHARE = 1.2;
 
     /** The share of an engine's memory up to which copies of other servers' generations are placed. */
     static final double BACKUP_SHARE = 0.4;
@@ -29,11 +30,14 @@
     /** The cost of an engine's full memory for a copy, in milliseconds; it spreads copies over the servers. */
     private static final double BACKUP_MEMORY_COST = 100;
 
+    /** The cost of a target that lacks as much memory as an engine has, in milliseconds. */
+    private static final double OVERFLOW_COST = 2_000;
+
     /** The cost of one request that runs or waits, in milliseconds until the first token. */
     private static final double REQUEST_COST = 25;
 
-    /** The prompt tokens that an engine reads in a millisecond. */
-    private static final double PREFILL_TOKENS_PER_MILLI = 14;
+    /** The prompt tokens that an engine reads in a millisecond beside running responses. */
+    private static final double PREFILL_TOKENS_PER_MILLI = 7;
 
     /** The cost of another zone and of another region, in milliseconds; it stands for delay and paid bytes. */
     private static final double ZONE_COST = 30;
@@ -134,10 +138,11 @@
             RandomGenerator random) {
         return cheapest(servers, excluded, nowMillis, random, server -> {
             ServerLoad load = loads.of(server.id(), nowMillis);
-            return hasRoom(load, engine, size) && isSameRegion(server, source)
+            return load.requests() < engine.slots() && isSameRegion(server, source)
                     ? cost(server, load, source.record().zone())
                             + paceCost(server, servers, size)
                             + copyCost(server, source, engine, size, nowMillis)
+                            + overflowCost(load, engine, size)
                     : Double.POSITIVE_INFINITY;
         });
     }
@@ -216,6 +221,12 @@
         return excess * (size.expectedTokens() >= LONG_TOKENS ? LONG_PACE_COST : SHORT_PACE_COST);
     }
 
+    /** A stream that cannot move is lost for certain, so a target without enough memory is only put last. */
+    private static double overflowCost(ServerLoad load, EngineSpec engine, GenerationSize size) {
+        double missing = load.tokens() + size.totalTokens() - MEMORY_SHARE * engine.memoryTokens();
+        return Math.max(0, missing) / engine.memoryTokens() * OVERFLOW_COST;
+    }
+
     private double copyCost(
             FleetServer server, FleetServer from, EngineSpec engine, GenerationSize size, long nowMillis) {
         boolean isSameZone = server.record().zone().equals(from.record().zone());
