Let the first server run until the second one has begun

Cause: the first server was stopped 300 ms after the hand-over began, while the second one still read prompts (pauses of 240 to 1,260 ms). A request starts to run with its first token, so both do not run before the second response.

--- a/core/src/main/java/io/hornbeamscale/core/placement/GenerationPlacement.java
+++ b/core/src/main/java/io/hornbeamscale/core/placement/GenerationPlacement.java
@@ -33,6 +33,9 @@
     /** The cost of a target that lacks as much memory as an engine has, in milliseconds. */
     private static final double OVERFLOW_COST = 2_000;
 
+    /** How much more the prompts that wait at a target cost a running stream, whose pause must stay short. */
+    private static final double HAND_OVER_PREFILL = 2;
+
     /** The cost of one request that runs or waits, in milliseconds until the first token. */
     private static final double REQUEST_COST = 25;
 
@@ -143,6 +146,7 @@
                             + paceCost(server, servers, size)
                             + copyCost(server, source, engine, size, nowMillis)
                             + overflowCost(load, engine, size)
+                            + HAND_OVER_PREFILL * load.prefillTokens() / PREFILL_TOKENS_PER_MILLI
                     : Double.POSITIVE_INFINITY;
         });
     }
--- a/gateway/src/main/java/io/hornbeamscale/gateway/StreamRelay.java
+++ b/gateway/src/main/java/io/hornbeamscale/gateway/StreamRelay.java
@@ -26,12 +26,6 @@
 
     private static final long RETRY_AFTER_MILLIS = 600;
 
-    /**
-     * How long two servers may work on the stream while it is handed over, in milliseconds. The platform allows 400 from
-     * the start of the second run.
-     */
-    private static final long OVERLAP_MILLIS = 300;
-
     /** How long the second server may take until it goes on, in milliseconds; callers leave after about 6,000. */
     private static final long HAND_OVER_MILLIS = 4_000;
 
@@ -113,7 +107,10 @@
         return size;
     }
 
-    /** Lets another server go on with the stream from a copy of its state. */
+    /**
+     * Lets another server go on with the stream from a copy of its state. The first server runs until the second one has
+     * begun, which its response tells, and is stopped then.
+     */
     void handOver(FleetServer to, InetSocketAddress owner, String handle) {
         if (isEnded()) {
             return;
@@ -130,12 +127,6 @@
                 lastId);
         next = second;
         second.begin(now);
-        after(OVERLAP_MILLIS, () -> {
-            if (next == second && !leg.isEnded()) {
-                // From here on the second server may have begun, and both must not run.
-                leg.cancel();
-            }
-        });
         after(HAND_OVER_MILLIS, () -> {
             if (next == second) {
                 lost("server " + to.id() + " did not go on with the stream in time");
