--- a/core/src/main/java/io/hornbeamscale/core/fleet/ServerRecord.java
+++ b/core/src/main/java/io/hornbeamscale/core/fleet/ServerRecord.java
@@ -1,7 +1,6 @@
 package io.hornbeamscale.core.fleet;
 
 import io.hornbeamscale.core.util.Arguments;
-import java.net.InetSocketAddress;
 
 /**
  * What a backend server says of itself in its registration.
@@ -21,7 +20,7 @@
         long startedAtMillis,
         long sequence,
         String service,
-        InetSocketAddress address,
+        Endpoint address,
         String zone,
         int slots,
         boolean isDraining,
--- a/core/src/main/java/io/hornbeamscale/core/placement/GenerationPlacement.java
+++ b/core/src/main/java/io/hornbeamscale/core/placement/GenerationPlacement.java
@@ -17,8 +17,10 @@
  * busier. Long responses keep away from slow servers, which stretch the pauses between tokens; short ones go there.
  */
 public final class GenerationPlacement {
-    /** What placed requests may need at their end, as a share of an engine's memory. They end one after the other, so that
-     * the sum is not in use at one moment; at 1.6, engines began to interrupt running responses. */
+    /**
+     * What placed requests may need at their end, as a share of an engine's memory. They end one after the other, so
+     * that the sum is not in use at one moment; at 1.6, engines began to interrupt running responses.
+     */
     static final double MEMORY_SHARE = 1.2;
 
     /** The share of an engine's memory up to which copies of other servers' generations are placed. */
@@ -50,7 +52,10 @@
     /** The cost of a server that fails every request, in milliseconds. */
     private static final double FAILURE_COST = 1_500;
 
-    /** The cost of a server that is still slow after its start, in milliseconds; others are taken while they have room. */
+    /**
+     * The cost of a server that is still slow after its start, in milliseconds; others are taken while they have
+     * room.
+     */
     private static final double SLOW_START_COST = 2_000;
 
     /** The cost of a server that is twice as slow as the fastest, in milliseconds, for long and for short responses. */
--- a/core/src/main/java/io/hornbeamscale/core/placement/LoadBook.java
+++ b/core/src/main/java/io/hornbeamscale/core/placement/LoadBook.java
@@ -10,7 +10,8 @@
  */
 public final class LoadBook {
     /**
-     * How long the word of another entry counts, in milliseconds. An entry that is silent for so long has ended, and its
+     * How long the word of another entry counts, in milliseconds. An entry that is silent for so long has ended, and
+     * its
      * requests with it.
      */
     static final long PEER_MILLIS = 3_000;
--- a/core/src/main/java/io/hornbeamscale/core/placement/PaceBook.java
+++ b/core/src/main/java/io/hornbeamscale/core/placement/PaceBook.java
@@ -7,7 +7,8 @@
 
 /**
  * How fast engines make events when nothing disturbs them. Servers of one service differ in speed, and on a slow one a
- * busy moment stretches the pause between two events beyond what is on time. The estimate follows low values quickly and
+ * busy moment stretches the pause between two events beyond what is on time. The estimate follows low values quickly
+ * and
  * high ones slowly, since prompts of other requests and noisy neighbours only add time. Not safe for use by several
  * threads.
  */
--- a/core/src/main/java/io/hornbeamscale/core/placement/PlainPlacement.java
+++ b/core/src/main/java/io/hornbeamscale/core/placement/PlainPlacement.java
@@ -24,6 +24,9 @@
     /** The cost of a server that fails every request, in milliseconds. */
     private static final double FAILURE_COST = 600;
 
+    /** The cost of a server that is set aside, in milliseconds; more than any other. */
+    private static final double ASIDE_COST = 100_000;
+
     /** The range of the random cost that keeps several entries from choosing the same server, in milliseconds. */
     private static final double JITTER = 5;
 
@@ -48,23 +51,26 @@
     }
 
     /**
-     * Chooses a server.
+     * Chooses a server. Servers that are set aside are tried if there is no other.
      *
      * @param servers the servers that take requests, not null
      * @param excluded servers that must not be chosen, not null
      * @param nowMillis the present time
      * @param random the source of jitter, not null
-     * @return the server, empty if none is usable
+     * @return the server, empty if all are excluded
      */
     public Optional<FleetServer> choose(
             Collection<FleetServer> servers, Set<String> excluded, long nowMillis, RandomGenerator random) {
         FleetServer best = null;
         double bestCost = Double.POSITIVE_INFINITY;
         for (FleetServer server : servers) {
-            if (excluded.contains(server.id()) || !health.isUsable(server.id(), nowMillis)) {
+            if (excluded.contains(server.id())) {
                 continue;
             }
             double cost = cost(server, nowMillis) + random.nextDouble() * JITTER;
+            if (!health.isUsable(server.id(), nowMillis)) {
+                cost += ASIDE_COST;
+            }
             if (cost < bestCost) {
                 best = server;
                 bestCost = cost;
--- /dev/null
+++ b/core/src/test/java/io/hornbeamscale/core/fleet/FleetControllerTest.java
@@ -0,0 +1,154 @@
+package io.hornbeamscale.core.fleet;
+
+import static org.junit.jupiter.api.Assertions.assertEquals;
+import static org.junit.jupiter.api.Assertions.assertSame;
+import static org.junit.jupiter.api.Assertions.assertTrue;
+
+import java.util.Set;
+import org.junit.jupiter.api.BeforeEach;
+import org.junit.jupiter.api.Nested;
+import org.junit.jupiter.api.Test;
+
+/** Guards against requests to servers that leave, and against servers that are dropped although they live. */
+class FleetControllerTest {
+    private static final long START = 1_000;
+
+    private final FleetController fleet = new FleetController();
+
+    @BeforeEach
+    void connect() {
+        fleet.storeAnswered(0);
+        // The grace of the first contact is over.
+        fleet.tick(FleetController.LAPSE_GRACE_MILLIS + 1);
+    }
+
+    private static ServerRecord record(String id, long started, long sequence, boolean isDraining) {
+        return new ServerRecord(id, started, sequence, "tales", new Endpoint("10.0.0.1", 80), "z", 4, isDraining, 0);
+    }
+
+    private int ready() {
+        return fleet.snapshot().ready("tales").size();
+    }
+
+    @Nested
+    class Registration {
+        @Test
+        void makesAServerReady() {
+            fleet.registered(record("a", START, 1, false), 1, 5_000);
+            assertEquals(1, ready());
+        }
+
+        @Test
+        void thatDrainsStopsRequestsAtOnce() {
+            fleet.registered(record("a", START, 1, false), 1, 5_000);
+            fleet.registered(record("a", START, 2, true), 2, 5_010);
+            assertEquals(0, ready());
+            assertEquals(5_010, fleet.snapshot().server("a").orElseThrow().leavingSinceMillis());
+        }
+
+        @Test
+        void thatWasDelayedDoesNotUndoALaterOne() {
+            fleet.registered(record("a", START, 5, true), 1, 5_000);
+            fleet.registered(record("a", START, 4, false), 2, 5_100);
+            assertEquals(0, ready());
+        }
+
+        @Test
+        void ofALaterLifeIsUsed() {
+            fleet.registered(record("a", START, 5, true), 1, 5_000);
+            fleet.registered(record("a", START + 1, 1, false), 2, 5_100);
+            assertEquals(1, ready());
+        }
+
+        @Test
+        void ofAnEarlierLifeChangesNothing() {
+            fleet.registered(record("a", START, 1, true), 1, 5_000);
+            fleet.registered(record("a", START - 1, 9, false), 2, 5_100);
+            assertEquals(0, ready());
+        }
+
+        @Test
+        void thatArrivesTwiceChangesNothing() {
+            fleet.registered(record("a", START, 1, false), 1, 5_000);
+            FleetSnapshot before = fleet.snapshot();
+            fleet.registered(record("a", START, 1, false), 1, 5_100);
+            assertSame(before, fleet.snapshot());
+        }
+    }
+
+    @Nested
+    class Removal {
+        @Test
+        void whileTheStoreAnswersStopsRequestsAtOnce() {
+            fleet.registered(record("a", START, 1, false), 1, 5_000);
+            fleet.removed("a", 2, 5_100);
+            assertEquals(0, ready());
+        }
+
+        @Test
+        void thatIsOlderThanTheRegistrationChangesNothing() {
+            fleet.registered(record("a", START, 1, false), 3, 5_000);
+            fleet.removed("a", 2, 5_100);
+            assertEquals(1, ready());
+        }
+
+        @Test
+        void isForgottenLater() {
+            fleet.registered(record("a", START, 1, false), 1, 5_000);
+            fleet.removed("a", 2, 5_100);
+            assertTrue(fleet.snapshot().server("a").isPresent());
+            fleet.tick(5_100 + FleetController.FORGET_MILLIS + 1);
+            assertTrue(fleet.snapshot().server("a").isEmpty());
+        }
+
+        @Test
+        void byAListCountsOnlyForWhatTheListKnew() {
+            fleet.registered(record("a", START, 1, false), 1, 5_000);
+            fleet.registered(record("b", START, 1, false), 9, 5_000);
+            fleet.listed(Set.of(), 5, 5_100);
+            assertEquals("b", fleet.snapshot().ready("tales").get(0).id());
+            assertEquals(1, ready());
+        }
+    }
+
+    @Nested
+    class Outage {
+        @BeforeEach
+        void loseTheStore() {
+            fleet.registered(record("a", START, 1, false), 1, 5_000);
+            fleet.storeLost();
+        }
+
+        @Test
+        void keepsServersWhoseRegistrationLapsed() {
+            fleet.removed("a", 2, 6_000);
+            fleet.storeAnswered(8_000);
+            fleet.tick(8_000 + FleetController.LAPSE_GRACE_MILLIS - 1);
+            assertEquals(1, ready());
+        }
+
+        @Test
+        void dropsThemIfTheyDoNotComeBack() {
+            fleet.removed("a", 2, 6_000);
+            fleet.storeAnswered(8_000);
+            fleet.tick(8_000 + FleetController.LAPSE_GRACE_MILLIS);
+            assertEquals(0, ready());
+        }
+
+        @Test
+        void keepsServersThatComeBack() {
+            fleet.removed("a", 2, 6_000);
+            fleet.storeAnswered(8_000);
+            fleet.registered(record("a", START, 2, false), 3, 9_000);
+            fleet.tick(20_000);
+            assertEquals(1, ready());
+        }
+
+        @Test
+        void doesNotKeepAServerThatWasDraining() {
+            fleet.registered(record("a", START, 2, true), 2, 5_500);
+            fleet.removed("a", 3, 6_000);
+            assertEquals(0, ready());
+        }
+    }
+}
--- /dev/null
+++ b/core/src/test/java/io/hornbeamscale/core/limit/RepeatAllowanceTest.java
@@ -0,0 +1,106 @@
+package io.hornbeamscale.core.limit;
+
+import static org.junit.jupiter.api.Assertions.assertEquals;
+import static org.junit.jupiter.api.Assertions.assertFalse;
+import static org.junit.jupiter.api.Assertions.assertTrue;
+
+import java.util.Random;
+import org.junit.jupiter.api.Nested;
+import org.junit.jupiter.api.Test;
+
+/** Guards against repeats that multiply the load of a failing service. */
+class RepeatAllowanceTest {
+    private static final long WINDOW = 10_000;
+
+    private static int take(RepeatAllowance allowance, int tries, long now) {
+        int taken = 0;
+        for (int i = 0; i < tries; i++) {
+            taken += allowance.tryRepeat("s", now) ? 1 : 0;
+        }
+        return taken;
+    }
+
+    @Nested
+    class OneEntry {
+        private final RepeatAllowance allowance = new RepeatAllowance(0.2, WINDOW, 5);
+
+        @Test
+        void hasTheSlackWithoutRequests() {
+            assertEquals(5, take(allowance, 100, 0));
+        }
+
+        @Test
+        void getsAShareOfItsRequests() {
+            for (int i = 0; i < 100; i++) {
+                allowance.request("s", 0);
+            }
+            assertEquals(25, take(allowance, 100, 0));
+        }
+
+        @Test
+        void keepsServicesApart() {
+            take(allowance, 100, 0);
+            assertTrue(allowance.tryRepeat("t", 0));
+        }
+
+        @Test
+        void countsForcedRepeats() {
+            for (int i = 0; i < 5; i++) {
+                allowance.forceRepeat("s", 0);
+            }
+            assertFalse(allowance.tryRepeat("s", 0));
+        }
+
+        @Test
+        void getsTheSlackBackAfterTheWindow() {
+            take(allowance, 100, 0);
+            assertEquals(0, take(allowance, 100, WINDOW));
+            assertEquals(5, take(allowance, 100, WINDOW + WINDOW / 40 + 1));
+        }
+
+        @Test
+        void takesNewLimitsOver() {
+            allowance.setLimits(0.2, WINDOW, 1);
+            assertEquals(1, take(allowance, 100, 0));
+        }
+    }
+
+    @Nested
+    class SeveralEntries {
+        /** Any span of the window's length stays within the sum, whatever each entry is asked for. */
+        @Test
+        void stayWithinTheSumTogether() {
+            Random random = new Random(7);
+            int entries = 4;
+            RepeatAllowance[] all = new RepeatAllowance[entries];
+            for (int i = 0; i < entries; i++) {
+                all[i] = new RepeatAllowance(0.2, WINDOW, 54);
+                all[i].setEntries(entries);
+            }
+            int span = (int) (WINDOW / 100);
+            int[] requests = new int[600];
+            int[] repeats = new int[600];
+            for (int step = 0; step < requests.length; step++) {
+                for (RepeatAllowance each : all) {
+                    for (int i = random.nextInt(5); i > 0; i--) {
+                        each.request("s", step * 100L);
+                        requests[step]++;
+                    }
+                    repeats[step] += take(each, random.nextInt(20), step * 100L);
+                }
+            }
+            for (int end = span; end < requests.length; end++) {
+                int inSpan = 0;
+                int asked = 0;
+                for (int step = end - span + 1; step <= end; step++) {
+                    inSpan += repeats[step];
+                }
+                // The platform counts the requests of the better of this window and the one half a window earlier.
+                for (int step = Math.max(0, end - span - span / 2); step <= end; step++) {
+                    asked += requests[step];
+                }
+                assertTrue(inSpan <= 0.2 * asked + 54, "step " + end);
+            }
+        }
+    }
+}
--- /dev/null
+++ b/core/src/test/java/io/hornbeamscale/core/placement/CopyLinksTest.java
@@ -0,0 +1,45 @@
+package io.hornbeamscale.core.placement;
+
+import static org.junit.jupiter.api.Assertions.assertEquals;
+
+import io.hornbeamscale.core.route.EngineSpec;
+import org.junit.jupiter.api.Nested;
+import org.junit.jupiter.api.Test;
+
+/** Guards against moves that queue behind one another on a link. */
+class CopyLinksTest {
+    private static final EngineSpec ENGINE = new EngineSpec(24, 34_377, 163_840, 24_000, true, true, 4);
+
+    @Nested
+    class Copy {
+        @Test
+        void takesTwiceAsLongBetweenZones() {
+            // 4,000 tokens of 163,840 bytes at 24 Gbit/s.
+            assertEquals(218.5, CopyLinks.copyMillis(ENGINE, 4_000, true), 0.1);
+            assertEquals(436.9, CopyLinks.copyMillis(ENGINE, 4_000, false), 0.1);
+        }
+    }
+
+    @Nested
+    class Busy {
+        private final CopyLinks links = new CopyLinks();
+
+        @Test
+        void addsUpAtBothEnds() {
+            links.begin("a", "b", 200, 0);
+            links.begin("a", "c", 200, 0);
+            assertEquals(400, links.busyMillis("a", 0));
+            assertEquals(200, links.busyMillis("b", 0));
+            assertEquals(400, links.busyMillis("c", 0));
+        }
+
+        @Test
+        void passesWithTime() {
+            links.begin("a", "b", 200, 0);
+            assertEquals(50, links.busyMillis("a", 150));
+            assertEquals(0, links.busyMillis("a", 500));
+            links.forget("a");
+            assertEquals(0, links.busyMillis("a", 0));
+        }
+    }
+}
--- /dev/null
+++ b/core/src/test/java/io/hornbeamscale/core/placement/GenerationPlacementTest.java
@@ -0,0 +1,201 @@
+package io.hornbeamscale.core.placement;
+
+import static org.junit.jupiter.api.Assertions.assertEquals;
+import static org.junit.jupiter.api.Assertions.assertNotEquals;
+import static org.junit.jupiter.api.Assertions.assertTrue;
+
+import io.hornbeamscale.core.fleet.Endpoint;
+import io.hornbeamscale.core.fleet.FleetServer;
+import io.hornbeamscale.core.fleet.ServerRecord;
+import io.hornbeamscale.core.fleet.ServerState;
+import io.hornbeamscale.core.route.EngineSpec;
+import java.util.HashMap;
+import java.util.List;
+import java.util.Map;
+import java.util.Optional;
+import java.util.Random;
+import java.util.Set;
+import org.junit.jupiter.api.Nested;
+import org.junit.jupiter.api.Test;
+
+/** Guards against generations that wait or lose their memory although another server has room. */
+class GenerationPlacementTest {
+    private static final EngineSpec ENGINE = new EngineSpec(24, 34_377, 163_840, 24_000, true, true, 4);
+    private static final GenerationSize LONG = new GenerationSize(3_000, 900);
+    private static final GenerationSize SHORT = new GenerationSize(2_200, 12);
+    private static final Map<String, String> REGIONS = Map.of("z1", "r1", "z2", "r1", "z3", "r2");
+
+    private final LoadBook loads = new LoadBook();
+    private final HealthBook health = new HealthBook();
+    private final PaceBook pace = new PaceBook();
+    private final CopyLinks links = new CopyLinks();
+    private final GenerationPlacement placement = new GenerationPlacement(loads, health, pace, links, "z1", REGIONS);
+    private final Random random = new Random(3);
+
+    private static FleetServer server(String id, String zone) {
+        return server(id, zone, 0);
+    }
+
+    private static FleetServer server(String id, String zone, long slowStart) {
+        return new FleetServer(
+                new ServerRecord(id, 1, 1, "tales", new Endpoint("10.0.0.1", 80), zone, 24, false, slowStart),
+                ServerState.READY,
+                0);
+    }
+
+    private String choose(GenerationSize size, FleetServer... servers) {
+        return placement
+                .choose(List.of(servers), ENGINE, size, Set.of(), 0, random)
+                .map(FleetServer::id)
+                .orElse("");
+    }
+
+    private void fill(String server, int requests, long tokens, long prefill) {
+        loads.add(server, new ServerLoad(requests, tokens, prefill));
+    }
+
+    @Nested
+    class Choice {
+        @Test
+        void avoidsAServerWhereManyPromptsWait() {
+            fill("a", 3, 9_000, 9_000);
+            fill("b", 5, 15_000, 0);
+            assertEquals("b", choose(LONG, server("a", "z1"), server("b", "z1")));
+        }
+
+        @Test
+        void staysNearUnlessTheServerIsBusy() {
+            assertEquals("a", choose(LONG, server("a", "z1"), server("b", "z2"), server("c", "z3")));
+            fill("a", 10, 20_000, 3_000);
+            assertEquals("b", choose(LONG, server("a", "z1"), server("b", "z2"), server("c", "z3")));
+        }
+
+        @Test
+        void findsNoneWithoutMemory() {
+            fill("a", 10, 41_000, 0);
+            assertEquals("", choose(LONG, server("a", "z1")));
+        }
+
+        @Test
+        void findsNoneWithoutASlot() {
+            fill("a", 24, 1_000, 0);
+            assertEquals("", choose(SHORT, server("a", "z1")));
+        }
+
+        @Test
+        void letsALargeRequestRunAloneOnAnEmptyServer() {
+            assertEquals("a", choose(new GenerationSize(60_000, 10), server("a", "z1")));
+        }
+
+        @Test
+        void usesAServerThatHasJustStartedOnlyIfNoOtherHasRoom() {
+            fill("a", 8, 25_000, 2_000);
+            assertEquals("a", choose(LONG, server("a", "z1"), server("b", "z1", 900)));
+            fill("a", 1, 40_000, 0);
+            assertEquals("b", choose(LONG, server("a", "z1"), server("b", "z1", 900)));
+        }
+
+        @Test
+        void keepsLongResponsesAwayFromSlowServers() {
+            pace.observe("a", 43);
+            pace.observe("b", 33);
+            fill("b", 4, 16_000, 0);
+            assertEquals("b", choose(LONG, server("a", "z1"), server("b", "z1")));
+        }
+
+        @Test
+        void countsWhatOtherEntriesPlaced() {
+            loads.told("peer", Map.of("a", new ServerLoad(4, 12_000, 9_000)), 0);
+            assertEquals("b", choose(LONG, server("a", "z1"), server("b", "z1")));
+        }
+
+        @Test
+        void leavesOutAServerThatCannotBeReached() {
+            health.unreachable("a", 0);
+            assertEquals("b", choose(LONG, server("a", "z1"), server("b", "z2")));
+        }
+    }
+
+    @Nested
+    class Destination {
+        private final FleetServer source = server("s", "z1");
+
+        private Optional<String> choose(FleetServer... servers) {
+            return placement
+                    .chooseDestination(List.of(servers), ENGINE, LONG, source, Set.of("s"), 0, random)
+                    .map(FleetServer::id);
+        }
+
+        /** A copy between regions would take minutes over the narrow link, and the stream would be lost. */
+        @Test
+        void isNeverInAnotherRegion() {
+            assertEquals(Optional.empty(), choose(server("c", "z3")));
+        }
+
+        @Test
+        void isInTheSourcesZoneIfPossible() {
+            assertEquals(Optional.of("a"), choose(server("a", "z1"), server("b", "z2")));
+        }
+
+        @Test
+        void isAServerWithoutEnoughMemoryRatherThanNone() {
+            fill("a", 10, 45_000, 0);
+            assertEquals(Optional.of("a"), choose(server("a", "z1")));
+        }
+
+        /** Copies of one server run one after the other, so several streams must not choose the same target. */
+        @Test
+        void spreadsOverServersWhoseLinksAreFree() {
+            links.begin("s", "a", 800, 0);
+            assertEquals(Optional.of("b"), choose(server("a", "z1"), server("b", "z1")));
+        }
+    }
+
+    @Nested
+    class Backup {
+        private Optional<String> choose(FleetServer... servers) {
+            return placement
+                    .chooseBackup(List.of(servers), ENGINE, LONG, server("s", "z1"), 0, random)
+                    .map(FleetServer::id);
+        }
+
+        @Test
+        void isNeverTheServerItself() {
+            assertEquals(Optional.empty(), choose(server("s", "z1")));
+        }
+
+        @Test
+        void isGivenUpWhenMemoryGetsScarce() {
+            fill("a", 4, 13_000, 0);
+            assertEquals(Optional.empty(), choose(server("a", "z1")));
+        }
+
+        @Test
+        void isInTheSameRegion() {
+            assertEquals(Optional.empty(), choose(server("c", "z3")));
+        }
+    }
+
+    @Nested
+    class Load {
+        /** Four entries place 400 requests with news of one another; no server gets far more than its share. */
+        @Test
+        void spreadsOverEqualServers() {
+            FleetServer[] servers = new FleetServer[6];
+            for (int i = 0; i < servers.length; i++) {
+                servers[i] = server("s" + i, "z1");
+            }
+            Map<String, Integer> counts = new HashMap<>();
+            for (int i = 0; i < 400; i++) {
+                String chosen = choose(SHORT, servers);
+                assertNotEquals("", chosen);
+                counts.merge(chosen, 1, Integer::sum);
+                fill(chosen, 1, 20, 20);
+                if (i >= 60) {
+                    loads.remove("s" + i % 6, new ServerLoad(1, 20, 20));
+                }
+            }
+            counts.values().forEach(n -> assertTrue(n > 40 && n < 100, counts.toString()));
+        }
+    }
+}
--- /dev/null
+++ b/core/src/test/java/io/hornbeamscale/core/placement/HealthBookTest.java
@@ -0,0 +1,85 @@
+package io.hornbeamscale.core.placement;
+
+import static org.junit.jupiter.api.Assertions.assertEquals;
+import static org.junit.jupiter.api.Assertions.assertFalse;
+import static org.junit.jupiter.api.Assertions.assertTrue;
+
+import org.junit.jupiter.api.Nested;
+import org.junit.jupiter.api.Test;
+
+/** Guards against requests to a dead server, and against a server that is never tried again. */
+class HealthBookTest {
+    private final HealthBook health = new HealthBook();
+
+    @Nested
+    class Unreachable {
+        @Test
+        void setsAsideAtOnceAndForLongerEachTime() {
+            health.unreachable("a", 0);
+            assertFalse(health.isUsable("a", 499));
+            assertTrue(health.isUsable("a", 500));
+            health.unreachable("a", 500);
+            assertFalse(health.isUsable("a", 1_499));
+        }
+
+        @Test
+        void neverSetsAsideForMoreThanFourSeconds() {
+            for (int i = 0; i < 20; i++) {
+                health.unreachable("a", 0);
+            }
+            assertTrue(health.isUsable("a", 4_000));
+        }
+    }
+
+    @Nested
+    class Broken {
+        @Test
+        void setsAsideOnlyAfterThreeInARow() {
+            health.broke("a", 0);
+            health.broke("a", 0);
+            assertTrue(health.isUsable("a", 0));
+            health.broke("a", 0);
+            assertFalse(health.isUsable("a", 0));
+        }
+
+        @Test
+        void isForgivenByAnAnswer() {
+            health.broke("a", 0);
+            health.broke("a", 0);
+            health.answered("a", false, 10);
+            health.broke("a", 0);
+            assertTrue(health.isUsable("a", 0));
+        }
+
+        @Test
+        void letsOneRequestTryAgain() {
+            for (int i = 0; i < 3; i++) {
+                health.broke("a", 0);
+            }
+            assertTrue(health.isUsable("a", 600));
+            health.sent("a", 600);
+            assertFalse(health.isUsable("a", 700));
+        }
+    }
+
+    @Nested
+    class Averages {
+        @Test
+        void followTheOutcomes() {
+            assertEquals(40, health.answerMillis("a", 40));
+            health.answered("a", true, 100);
+            assertEquals(0.1, health.failureRate("a"), 1e-9);
+            assertEquals(100, health.answerMillis("a", 40), 1e-9);
+            health.answered("a", false, 200);
+            assertEquals(110, health.answerMillis("a", 40), 1e-9);
+            assertEquals(0.09, health.failureRate("a"), 1e-9);
+        }
+
+        @Test
+        void areGoneWithTheServer() {
+            health.answered("a", true, 100);
+            health.forget("a");
+            assertEquals(0, health.failureRate("a"));
+        }
+    }
+}
--- /dev/null
+++ b/core/src/test/java/io/hornbeamscale/core/placement/LoadBookTest.java
@@ -0,0 +1,54 @@
+package io.hornbeamscale.core.placement;
+
+import static org.junit.jupiter.api.Assertions.assertEquals;
+import static org.junit.jupiter.api.Assertions.assertTrue;
+
+import java.util.Map;
+import org.junit.jupiter.api.Nested;
+import org.junit.jupiter.api.Test;
+
+/** Guards against load that is counted after it is gone. */
+class LoadBookTest {
+    private static final ServerLoad LOAD = new ServerLoad(1, 30, 20);
+
+    private final LoadBook loads = new LoadBook();
+
+    @Nested
+    class Own {
+        @Test
+        void isTheSumOfWhatWasAdded() {
+            loads.add("a", LOAD);
+            loads.add("a", LOAD);
+            assertEquals(new ServerLoad(2, 60, 40), loads.of("a", 0));
+            loads.remove("a", LOAD);
+            assertEquals(LOAD, loads.of("a", 0));
+        }
+
+        @Test
+        void isEmptyAgainAtTheEnd() {
+            loads.add("a", LOAD);
+            loads.remove("a", new ServerLoad(0, 0, 20));
+            loads.remove("a", new ServerLoad(1, 30, 0));
+            assertTrue(loads.own().isEmpty());
+        }
+    }
+
+    @Nested
+    class Peers {
+        @Test
+        void replaceWhatTheyToldBefore() {
+            loads.told("p", Map.of("a", LOAD, "b", LOAD), 0);
+            loads.told("p", Map.of("b", LOAD), 10);
+            loads.told("q", Map.of("b", LOAD), 10);
+            assertEquals(ServerLoad.NONE, loads.of("a", 10));
+            assertEquals(new ServerLoad(2, 60, 40), loads.of("b", 10));
+        }
+
+        @Test
+        void doNotCountAfterTheyFallSilent() {
+            loads.told("p", Map.of("a", LOAD), 0);
+            assertEquals(LOAD, loads.of("a", LoadBook.PEER_MILLIS));
+            assertEquals(ServerLoad.NONE, loads.of("a", LoadBook.PEER_MILLIS + 1));
+        }
+    }
+}
--- a/daemon/src/main/java/io/hornbeamscale/daemon/Signals.java
+++ b/daemon/src/main/java/io/hornbeamscale/daemon/Signals.java
@@ -5,7 +5,8 @@
 import org.apache.logging.log4j.LogManager;
 
 /**
- * Handles signals for which the JVM offers no public interface. Without a handler, the JVM ends on SIGHUP. Reflection is
+ * Handles signals for which the JVM offers no public interface. Without a handler, the JVM ends on SIGHUP. Reflection
+ * is
  * used since the compiler refuses the JDK's internal class by name.
  */
 final class Signals {
--- a/gateway/src/main/java/io/hornbeamscale/gateway/BackendClient.java
+++ b/gateway/src/main/java/io/hornbeamscale/gateway/BackendClient.java
@@ -1,9 +1,9 @@
 package io.hornbeamscale.gateway;
 
+import io.hornbeamscale.core.fleet.Endpoint;
 import io.hornbeamscale.core.util.Arguments;
 import io.undertow.connector.ByteBufferPool;
 import io.undertow.util.HeaderMap;
-import java.net.InetSocketAddress;
 import java.nio.ByteBuffer;
 import java.util.ArrayDeque;
 import java.util.Deque;
@@ -25,7 +25,10 @@
     /** How long a connection is kept if the server does not say, in milliseconds. */
     private static final long DEFAULT_IDLE_MILLIS = 4_000;
 
-    /** How long before the server's own limit a connection is given up, in milliseconds; covers one way between regions. */
+    /**
+     * How long before the server's own limit a connection is given up, in milliseconds; covers one way between
+     * regions.
+     */
     private static final long IDLE_MARGIN_MILLIS = 500;
 
     /** The connections kept for one server; more are closed after their response. */
@@ -33,7 +36,7 @@
 
     private final XnioIoThread thread;
     private final ByteBufferPool buffers;
-    private final Map<InetSocketAddress, Deque<PooledConnection>> idle = new HashMap<>();
+    private final Map<Endpoint, Deque<PooledConnection>> idle = new HashMap<>();
     private long opened;
 
     /**
@@ -56,8 +59,7 @@
      * @param nowMillis the present time
      * @return the exchange, never null
      */
-    public BackendExchange send(
-            InetSocketAddress to, Request request, BackendExchange.Listener listener, long nowMillis) {
+    public BackendExchange send(Endpoint to, Request request, BackendExchange.Listener listener, long nowMillis) {
         BackendExchange exchange = new BackendExchange(this, to, request, listener);
         PooledConnection connection = takeIdle(to, request.mayRepeat(), nowMillis);
         if (connection != null) {
@@ -74,7 +76,7 @@
      *
      * @param server the address of the server, not null
      */
-    public void forget(InetSocketAddress server) {
+    public void forget(Endpoint server) {
         Deque<PooledConnection> connections = idle.remove(server);
         if (connections != null) {
             connections.forEach(PooledConnection::close);
@@ -117,7 +119,7 @@
     }
 
     /** Keeps a connection whose response is complete, from the next turn of the I/O thread on. */
-    void release(InetSocketAddress to, PooledConnection connection, long serverIdleMillis, long nowMillis) {
+    void release(Endpoint to, PooledConnection connection, long serverIdleMillis, long nowMillis) {
         long limit = serverIdleMillis > 0 ? serverIdleMillis - IDLE_MARGIN_MILLIS : DEFAULT_IDLE_MILLIS;
         if (limit <= 0) {
             connection.close();
@@ -135,7 +137,7 @@
         });
     }
 
-    private PooledConnection takeIdle(InetSocketAddress to, boolean mayRepeat, long nowMillis) {
+    private PooledConnection takeIdle(Endpoint to, boolean mayRepeat, long nowMillis) {
         Deque<PooledConnection> connections = idle.get(to);
         if (connections == null) {
             return null;
--- a/gateway/src/main/java/io/hornbeamscale/gateway/BackendExchange.java
+++ b/gateway/src/main/java/io/hornbeamscale/gateway/BackendExchange.java
@@ -1,5 +1,6 @@
 package io.hornbeamscale.gateway;
 
+import io.hornbeamscale.core.fleet.Endpoint;
 import io.undertow.client.ClientCallback;
 import io.undertow.client.ClientConnection;
 import io.undertow.client.ClientExchange;
@@ -11,7 +12,6 @@
 import io.undertow.util.Headers;
 import io.undertow.util.HttpString;
 import java.io.IOException;
-import java.net.InetSocketAddress;
 import java.net.URI;
 import java.nio.ByteBuffer;
 import java.util.concurrent.TimeUnit;
@@ -27,7 +27,7 @@
     private static final OptionMap OPTIONS = OptionMap.create(Options.TCP_NODELAY, true);
 
     private final BackendClient client;
-    private final InetSocketAddress to;
+    private final Endpoint to;
     private final BackendClient.Request request;
     private final Listener listener;
     private PooledConnection connection;
@@ -40,7 +40,7 @@
     private boolean isReleasable = true;
     private long serverIdleMillis;
 
-    BackendExchange(BackendClient client, InetSocketAddress to, BackendClient.Request request, Listener listener) {
+    BackendExchange(BackendClient client, Endpoint to, BackendClient.Request request, Listener listener) {
         this.client = client;
         this.to = to;
         this.request = request;
@@ -85,7 +85,7 @@
                         () -> fail(Failure.NOT_SENT, "no connection within " + request.connectMillis() + " ms"),
                         request.connectMillis(),
                         TimeUnit.MILLISECONDS);
-        URI uri = URI.create("http://" + to.getAddress().getHostAddress() + ":" + to.getPort());
+        URI uri = URI.create("http://" + to.toString());
         UndertowClient.getInstance()
                 .connect(
                         new ClientCallback<ClientConnection>() {
--- a/gateway/src/main/java/io/hornbeamscale/gateway/DecisionLog.java
+++ b/gateway/src/main/java/io/hornbeamscale/gateway/DecisionLog.java
@@ -13,7 +13,10 @@
  * each kind in a second is bounded; what is left out is counted and said. Safe for use by several threads.
  */
 final class DecisionLog {
-    /** The lines of one kind in a second. A line costs about 50 microseconds of a core that is mostly needed elsewhere. */
+    /**
+     * The lines of one kind in a second. A line costs about 50 microseconds of a core that is mostly needed
+     * elsewhere.
+     */
     private static final int LINES_PER_SECOND = 40;
 
     private static final long SECOND_MILLIS = 1_000;
@@ -25,7 +28,8 @@
     private final Map<String, Budget> budgets = new HashMap<>();
 
     /** A request was sent to a server. */
-    void sent(RelayRequest request, FleetServer server, int attempt, long remainingMillis, ServerLoad load, String copy) {
+    void sent(
+            RelayRequest request, FleetServer server, int attempt, long remainingMillis, ServerLoad load, String copy) {
         if (isAllowed("sent")) {
             requests.info(line("sent", request)
                     .with("server", server.id())
--- a/gateway/src/main/java/io/hornbeamscale/gateway/EntryRegistration.java
+++ b/gateway/src/main/java/io/hornbeamscale/gateway/EntryRegistration.java
@@ -8,7 +8,9 @@
  * does. Methods run on the control thread.
  */
 final class EntryRegistration {
-    /** How long the registration lasts without renewal, in milliseconds; entries that are cut off for less stay known. */
+    /**
+     * How long the registration lasts without renewal, in milliseconds; entries that are cut off for less stay known.
+     */
     private static final long TTL_MILLIS = 20_000;
 
     /** The pause between two renewals, in milliseconds; two may fail before the lease ends. */
--- a/gateway/src/main/java/io/hornbeamscale/gateway/Gateway.java
+++ b/gateway/src/main/java/io/hornbeamscale/gateway/Gateway.java
@@ -2,6 +2,7 @@
 
 import io.hornbeamscale.core.blackboard.Blackboard;
 import io.hornbeamscale.core.blackboard.BlackboardKey;
+import io.hornbeamscale.core.fleet.Endpoint;
 import io.hornbeamscale.core.fleet.FleetController;
 import io.hornbeamscale.core.fleet.FleetSnapshot;
 import io.hornbeamscale.core.placement.ServerLoad;
@@ -15,7 +16,6 @@
 import io.undertow.server.DefaultByteBufferPool;
 import java.io.IOException;
 import java.io.UncheckedIOException;
-import java.net.InetSocketAddress;
 import java.nio.ByteBuffer;
 import java.nio.charset.StandardCharsets;
 import java.util.ArrayList;
@@ -123,7 +123,7 @@
     /** Starts to listen and to follow the store. */
     public void start() {
         server.start();
-        peers.listen(new InetSocketAddress(settings.ip(), settings.peerPort()));
+        peers.listen(new Endpoint(settings.ip(), settings.peerPort()));
         control.start();
         control.execute(() -> {
             follower.start();
@@ -269,7 +269,7 @@
          * @param thread the I/O thread on which results arrive
          * @return the client, never null
          */
-        MetadataStore create(InetSocketAddress address, BackendClient client, XnioIoThread thread);
+        MetadataStore create(Endpoint address, BackendClient client, XnioIoThread thread);
     }
 
     private final class Follows implements StoreFollower.Listener {
@@ -283,8 +283,7 @@
             if (name.equals(settings.node())) {
                 return;
             }
-            Optional<InetSocketAddress> address =
-                    value.flatMap(v -> HostPort.parse(new String(v, StandardCharsets.UTF_8)));
+            Optional<Endpoint> address = value.flatMap(v -> Endpoint.parse(new String(v, StandardCharsets.UTF_8)));
             if (address.isPresent()) {
                 peers.add(name, address.get());
             } else {
--- a/gateway/src/main/java/io/hornbeamscale/gateway/GatewayServer.java
+++ b/gateway/src/main/java/io/hornbeamscale/gateway/GatewayServer.java
@@ -1,5 +1,6 @@
 package io.hornbeamscale.gateway;
 
+import io.hornbeamscale.core.fleet.Endpoint;
 import io.undertow.Undertow;
 import io.undertow.UndertowOptions;
 import io.undertow.connector.ByteBufferPool;
@@ -7,7 +8,6 @@
 import io.undertow.server.HttpServerExchange;
 import io.undertow.util.Headers;
 import io.undertow.util.StatusCodes;
-import java.net.InetSocketAddress;
 import java.util.function.BooleanSupplier;
 import org.xnio.XnioWorker;
 
@@ -45,7 +45,7 @@
                 .setSocketOption(org.xnio.Options.BACKLOG, BACKLOG);
         settings.callers().ifPresent(address -> listen(builder, address, callers));
         settings.readiness().ifPresent(address -> listen(builder, address, exchange -> ready(exchange, isReady)));
-        listen(builder, new InetSocketAddress(settings.ip(), settings.metricsPort()), new MetricsHandler(metrics));
+        listen(builder, new Endpoint(settings.ip(), settings.metricsPort()), new MetricsHandler(metrics));
         undertow = builder.build();
     }
 
@@ -58,8 +58,8 @@
         undertow.stop();
     }
 
-    private static void listen(Undertow.Builder builder, InetSocketAddress address, HttpHandler handler) {
-        builder.addHttpListener(address.getPort(), address.getAddress().getHostAddress(), handler);
+    private static void listen(Undertow.Builder builder, Endpoint address, HttpHandler handler) {
+        builder.addHttpListener(address.port(), address.ip(), handler);
     }
 
     private static void ready(HttpServerExchange exchange, BooleanSupplier isReady) {
--- a/gateway/src/main/java/io/hornbeamscale/gateway/GatewaySettings.java
+++ b/gateway/src/main/java/io/hornbeamscale/gateway/GatewaySettings.java
@@ -1,6 +1,6 @@
 package io.hornbeamscale.gateway;
 
-import java.net.InetSocketAddress;
+import io.hornbeamscale.core.fleet.Endpoint;
 import java.util.Map;
 import java.util.Optional;
 
@@ -27,11 +27,11 @@
         String ip,
         String zone,
         Map<String, String> regions,
-        Optional<InetSocketAddress> callers,
-        Optional<InetSocketAddress> readiness,
+        Optional<Endpoint> callers,
+        Optional<Endpoint> readiness,
         int peerPort,
         int metricsPort,
-        InetSocketAddress store,
+        Endpoint store,
         long drainMillis,
         long graceMillis,
         double repeatRatio,
--- a/gateway/src/main/java/io/hornbeamscale/gateway/MetadataStore.java
+++ b/gateway/src/main/java/io/hornbeamscale/gateway/MetadataStore.java
@@ -3,7 +3,8 @@
 import java.util.function.Consumer;
 
 /**
- * The platform's store, as an entry uses it. Results arrive on an I/O thread, each exactly once. Calls are not repeated:
+ * The platform's store, as an entry uses it. Results arrive on an I/O thread, each exactly once. Calls are not
+ * repeated:
  * the caller decides what a lost answer means.
  */
 public interface MetadataStore {
--- a/gateway/src/main/java/io/hornbeamscale/gateway/PeerLinks.java
+++ b/gateway/src/main/java/io/hornbeamscale/gateway/PeerLinks.java
@@ -1,5 +1,6 @@
 package io.hornbeamscale.gateway;
 
+import io.hornbeamscale.core.fleet.Endpoint;
 import io.hornbeamscale.wire.FrameConnection;
 import io.hornbeamscale.wire.FrameListener;
 import io.hornbeamscale.wire.FrameLoop;
@@ -42,12 +43,12 @@
     }
 
     /** Accepts connections of other entries. */
-    void listen(InetSocketAddress address) {
-        loop.listen(address, () -> new Incoming());
+    void listen(Endpoint address) {
+        loop.listen(new InetSocketAddress(address.ip(), address.port()), () -> new Incoming());
     }
 
     /** Connects to an entry, or to its new address. */
-    void add(String name, InetSocketAddress address) {
+    void add(String name, Endpoint address) {
         Link known = links.get(name);
         if (known != null && known.address.equals(address)) {
             return;
@@ -132,12 +133,12 @@
 
     private final class Link implements FrameListener {
         private final String name;
-        private final InetSocketAddress address;
+        private final Endpoint address;
         private FrameConnection connection;
         private boolean isOpen;
         private long retryAtMillis;
 
-        Link(String name, InetSocketAddress address) {
+        Link(String name, Endpoint address) {
             this.name = name;
             this.address = address;
         }
@@ -145,7 +146,7 @@
         void send(Message message, long nowMillis) {
             if (connection == null) {
                 if (nowMillis >= retryAtMillis) {
-                    connection = loop.connect(address, this);
+                    connection = loop.connect(new InetSocketAddress(address.ip(), address.port()), this);
                     retryAtMillis = nowMillis + RECONNECT_MILLIS;
                 }
                 return;
--- a/gateway/src/main/java/io/hornbeamscale/gateway/PlainRelay.java
+++ b/gateway/src/main/java/io/hornbeamscale/gateway/PlainRelay.java
@@ -149,7 +149,15 @@
                     request().hasLength(),
                     isRepeatable(),
                     CONNECT_MILLIS);
-            traffic().log().sent(request(), server, offers, remaining, traffic().loads().of(server.id(), nowMillis), "");
+            traffic()
+                    .log()
+                    .sent(
+                            request(),
+                            server,
+                            offers,
+                            remaining,
+                            traffic().loads().of(server.id(), nowMillis),
+                            "");
             exchange = traffic().client().send(server.record().address(), call, this, nowMillis);
         }
 
--- a/gateway/src/main/java/io/hornbeamscale/gateway/SendFields.java
+++ b/gateway/src/main/java/io/hornbeamscale/gateway/SendFields.java
@@ -1,6 +1,6 @@
 package io.hornbeamscale.gateway;
 
-import java.net.InetSocketAddress;
+import io.hornbeamscale.core.fleet.Endpoint;
 import java.util.Optional;
 
 /**
@@ -19,7 +19,7 @@
         long remainingMillis,
         Optional<Integer> priority,
         Optional<Continuation> continuation,
-        Optional<InetSocketAddress> backup) {
+        Optional<Endpoint> backup) {
 
     /**
      * Where the state of a stream lies that goes on at another server.
@@ -28,5 +28,5 @@
      * @param handle the name of the copy there
      * @param lastEventId the id of the last event received, empty if none was
      */
-    public record Continuation(InetSocketAddress owner, String handle, Optional<String> lastEventId) {}
+    public record Continuation(Endpoint owner, String handle, Optional<String> lastEventId) {}
 }
--- a/gateway/src/main/java/io/hornbeamscale/gateway/ShortCall.java
+++ b/gateway/src/main/java/io/hornbeamscale/gateway/ShortCall.java
@@ -1,9 +1,9 @@
 package io.hornbeamscale.gateway;
 
+import io.hornbeamscale.core.fleet.Endpoint;
 import io.undertow.util.HeaderMap;
 import io.undertow.util.Headers;
 import java.io.ByteArrayOutputStream;
-import java.net.InetSocketAddress;
 import java.nio.ByteBuffer;
 import java.util.concurrent.TimeUnit;
 import org.xnio.XnioExecutor;
@@ -34,14 +34,14 @@
     public static BackendExchange send(
             BackendClient client,
             XnioIoThread thread,
-            InetSocketAddress to,
+            Endpoint to,
             String method,
             String path,
             byte[] body,
             long limitMillis,
             Done done) {
         HeaderMap headers = new HeaderMap();
-        headers.put(Headers.HOST, to.getAddress().getHostAddress() + ":" + to.getPort());
+        headers.put(Headers.HOST, to.toString());
         if (body.length > 0) {
             headers.put(Headers.CONTENT_TYPE, "application/json");
         }
--- a/gateway/src/main/java/io/hornbeamscale/gateway/StreamLeg.java
+++ b/gateway/src/main/java/io/hornbeamscale/gateway/StreamLeg.java
@@ -83,7 +83,14 @@
                 request.hasLength(),
                 false,
                 CONNECT_MILLIS);
-        traffic.log().sent(request, server, continuation.isPresent() ? 2 : 1, remaining, traffic.loads().of(server.id(), nowMillis), backup.map(FleetServer::id).orElse(""));
+        traffic.log()
+                .sent(
+                        request,
+                        server,
+                        continuation.isPresent() ? 2 : 1,
+                        remaining,
+                        traffic.loads().of(server.id(), nowMillis),
+                        backup.map(FleetServer::id).orElse(""));
         exchange = traffic.client().send(server.record().address(), call, this, nowMillis);
     }
 
--- a/gateway/src/main/java/io/hornbeamscale/gateway/StreamMove.java
+++ b/gateway/src/main/java/io/hornbeamscale/gateway/StreamMove.java
@@ -1,9 +1,9 @@
 package io.hornbeamscale.gateway;
 
+import io.hornbeamscale.core.fleet.Endpoint;
 import io.hornbeamscale.core.fleet.FleetServer;
 import io.hornbeamscale.core.placement.CopyLinks;
 import io.hornbeamscale.core.placement.ServerLoad;
-import java.net.InetSocketAddress;
 import java.nio.charset.StandardCharsets;
 import java.util.HashSet;
 import java.util.List;
@@ -13,7 +13,8 @@
 import java.util.function.LongConsumer;
 
 /**
- * Copies the state of a running stream from a server that leaves to another one, while the stream runs. When the copy is
+ * Copies the state of a running stream from a server that leaves to another one, while the stream runs. When the copy
+ * is
  * complete, the relay hands the stream over; the other server reads only what was made after the copy. All methods run
  * on the traffic thread.
  */
@@ -89,12 +90,8 @@
 
     private void copy() {
         calls++;
-        InetSocketAddress to = target.record().address();
-        call = send(
-                relay.traffic()
-                        .codec()
-                        .moveCall(relay.request().id(), to.getAddress().getHostAddress() + ":" + to.getPort(), false),
-                this::copied);
+        Endpoint to = target.record().address();
+        call = send(relay.traffic().codec().moveCall(relay.request().id(), to.toString(), false), this::copied);
     }
 
     private void copied(int status, byte[] body) {
@@ -109,7 +106,7 @@
             case COPIED -> {
                 FleetServer to = target;
                 end();
-                InetSocketAddress owner = source.server().record().address();
+                Endpoint owner = source.server().record().address();
                 relay.handOver(to, owner, handle.orElseThrow());
             }
             case NO_ROOM -> {
--- a/gateway/src/main/java/io/hornbeamscale/gateway/StreamRelay.java
+++ b/gateway/src/main/java/io/hornbeamscale/gateway/StreamRelay.java
@@ -1,12 +1,12 @@
 package io.hornbeamscale.gateway;
 
 import io.hornbeamscale.core.error.ErrorKind;
+import io.hornbeamscale.core.fleet.Endpoint;
 import io.hornbeamscale.core.fleet.FleetServer;
 import io.hornbeamscale.core.placement.GenerationSize;
 import io.hornbeamscale.core.route.EngineSpec;
 import io.undertow.server.HttpServerExchange;
 import io.undertow.util.HeaderMap;
-import java.net.InetSocketAddress;
 import java.util.HashSet;
 import java.util.List;
 import java.util.Optional;
@@ -88,8 +88,9 @@
         }
         long now = ControlLoop.now();
         List<FleetServer> servers = servers();
-        Optional<FleetServer> chosen =
-                traffic().generations().choose(servers, engine(), size, refused, now, traffic().random());
+        Optional<FleetServer> chosen = traffic()
+                .generations()
+                .choose(servers, engine(), size, refused, now, traffic().random());
         if (chosen.isEmpty()) {
             return false;
         }
@@ -108,10 +109,11 @@
     }
 
     /**
-     * Lets another server go on with the stream from a copy of its state. The first server runs until the second one has
+     * Lets another server go on with the stream from a copy of its state. The first server runs until the second one
+     * has
      * begun, which its response tells, and is stopped then.
      */
-    void handOver(FleetServer to, InetSocketAddress owner, String handle) {
+    void handOver(FleetServer to, Endpoint owner, String handle) {
         if (isEnded()) {
             return;
         }
@@ -120,11 +122,7 @@
         traffic().repeats().forceRepeat(request().service().name(), now);
         Optional<String> last = lastId > 0 ? Optional.of(Long.toString(lastId)) : Optional.empty();
         StreamLeg second = new StreamLeg(
-                this,
-                to,
-                Optional.of(new SendFields.Continuation(owner, handle, last)),
-                backupFor(to, now),
-                lastId);
+                this, to, Optional.of(new SendFields.Continuation(owner, handle, last)), backupFor(to, now), lastId);
         next = second;
         second.begin(now);
         after(HAND_OVER_MILLIS, () -> {
@@ -264,10 +262,8 @@
         if (isEnded() || move != null || next != null || leg == null || !leg.hasEvents() || leg.isEnded()) {
             return;
         }
-        boolean isLeaving = traffic()
-                .server(leg.server().id())
-                .map(s -> !s.isReady())
-                .orElse(true);
+        boolean isLeaving =
+                traffic().server(leg.server().id()).map(s -> !s.isReady()).orElse(true);
         if (!isLeaving) {
             return;
         }
@@ -296,7 +292,10 @@
         if (!engine().canBackUp() || size.expectedTokens() < BACKUP_TOKENS) {
             return Optional.empty();
         }
-        return traffic().generations().chooseBackup(servers(), engine(), size, server, nowMillis, traffic().random());
+        return traffic()
+                .generations()
+                .chooseBackup(
+                        servers(), engine(), size, server, nowMillis, traffic().random());
     }
 
     private List<FleetServer> servers() {
--- a/gateway/src/main/java/io/hornbeamscale/gateway/Traffic.java
+++ b/gateway/src/main/java/io/hornbeamscale/gateway/Traffic.java
@@ -1,6 +1,7 @@
 package io.hornbeamscale.gateway;
 
 import io.hornbeamscale.core.blackboard.Blackboard;
+import io.hornbeamscale.core.fleet.Endpoint;
 import io.hornbeamscale.core.fleet.FleetServer;
 import io.hornbeamscale.core.fleet.FleetSnapshot;
 import io.hornbeamscale.core.limit.RepeatAllowance;
@@ -11,7 +12,6 @@
 import io.hornbeamscale.core.placement.PaceBook;
 import io.hornbeamscale.core.placement.PlainPlacement;
 import io.hornbeamscale.core.placement.ServerLoad;
-import java.net.InetSocketAddress;
 import java.util.ArrayList;
 import java.util.HashMap;
 import java.util.LinkedHashSet;
@@ -25,7 +25,10 @@
 
 /** The state of the traffic thread: running requests, the load they put on servers, and what was learned of servers. */
 final class Traffic {
-    /** How long news of a placed request waits for more, in milliseconds; other entries place within this time blindly. */
+    /**
+     * How long news of a placed request waits for more, in milliseconds; other entries place within this time
+     * blindly.
+     */
     private static final long NEWS_DELAY_MILLIS = 10;
 
     private final XnioIoThread thread;
@@ -45,7 +48,7 @@
     private final RepeatAllowance repeats;
     private final Set<Relay> running = new LinkedHashSet<>();
     private final List<StreamRelay> waiting = new ArrayList<>();
-    private final Map<String, InetSocketAddress> known = new HashMap<>();
+    private final Map<String, Endpoint> known = new HashMap<>();
     private Runnable news = () -> {};
     private boolean isNewsDue;
 
@@ -203,7 +206,7 @@
     void fleetChanged() {
         FleetSnapshot fleet = fleet();
         for (FleetServer server : fleet.all()) {
-            InetSocketAddress before = known.put(server.id(), server.record().address());
+            Endpoint before = known.put(server.id(), server.record().address());
             if (before != null && !before.equals(server.record().address())) {
                 client.forget(before);
                 health.forget(server.id());
