Let generations wait at the entry while prompts queue at the servers

Cause: at a crest, requests were bound to servers with 3 s of prompts before them, and all that waited rushed to a new one. Change: WaitingRoom orders by rank and arrival, refuses at once what cannot be placed in time, and says when to come again.

--- a/core/src/main/java/io/hornbeamscale/core/placement/GenerationPlacement.java
+++ b/core/src/main/java/io/hornbeamscale/core/placement/GenerationPlacement.java
@@ -38,6 +38,12 @@
     /** How much more the prompts that wait at a target cost a running stream, whose pause must stay short. */
     private static final double HAND_OVER_PREFILL = 2;
 
+    /**
+     * The prompt tokens that may wait at a server when another request is placed there; two prompts or so. More of them
+     * wait at the entry, for whichever server is free first.
+     */
+    private static final long MAX_PREFILL_TOKENS = 6_000;
+
     /** The cost of one request that runs or waits, in milliseconds until the first token. */
     private static final double REQUEST_COST = 25;
 
@@ -222,6 +228,7 @@
             return true;
         }
         return load.requests() < engine.slots()
+                && load.prefillTokens() <= MAX_PREFILL_TOKENS
                 && load.tokens() + size.totalTokens() <= MEMORY_SHARE * engine.memoryTokens();
     }
 
--- /dev/null
+++ b/core/src/main/java/io/hornbeamscale/core/placement/WaitingRoom.java
@@ -0,0 +1,122 @@
+package io.hornbeamscale.core.placement;
+
+import io.hornbeamscale.core.util.Arguments;
+import java.util.ArrayList;
+import java.util.List;
+import java.util.Optional;
+
+/**
+ * The generations that wait at an entry until a server can begin to read their prompts, for the load of a crest that
+ * exceeds what the engines read for some seconds. A request that waits here goes to whichever server is free first; one
+ * that waits at a server is bound to it. The more urgent ranks go first, but a rank only counts as much as some time of
+ * arrival, so that no rank starves. A request that cannot be placed in time is refused at once, with the time after
+ * which it is expected to find room. Not safe for use by several threads.
+ *
+ * @param <T> the type of the requests
+ */
+public final class WaitingRoom<T> {
+    /** How much earlier a request counts as arrived for each rank that it is more urgent, in milliseconds. */
+    static final long RANK_MILLIS = 300;
+
+    /** The prompt tokens that one server reads in a millisecond beside running responses. */
+    static final double TOKENS_PER_MILLI = 7;
+
+    /** The share of its remaining time that a request may wait; the rest is needed for the response. */
+    private static final double WAIT_SHARE = 0.4;
+
+    /** How many times its objective a request may wait; callers leave streams without an event after about four times. */
+    private static final double WAIT_OBJECTIVES = 2;
+
+    private final List<Waiting<T>> waiting = new ArrayList<>();
+
+    /**
+     * Adds a request, or refuses it.
+     *
+     * @param request the request, not null
+     * @param need what it needs, not null
+     * @param servers the number of servers that take requests
+     * @param nowMillis the present time
+     * @return empty if the request waits, else the time after which it may come again, in milliseconds
+     */
+    public Optional<Long> offer(T request, Need need, int servers, long nowMillis) {
+        Arguments.notNull(request, "request");
+        long expected = expectedWaitMillis(need, servers);
+        if (expected > limitMillis(need, nowMillis)) {
+            return Optional.of(expected);
+        }
+        int index = 0;
+        while (index < waiting.size() && !isBefore(need, waiting.get(index).need)) {
+            index++;
+        }
+        waiting.add(index, new Waiting<>(request, need));
+        return Optional.empty();
+    }
+
+    /**
+     * Returns how long a request may wait from now on.
+     *
+     * @param need what the request needs, not null
+     * @param nowMillis the present time
+     * @return the time, in milliseconds, negative if it has waited too long already
+     */
+    public static long limitMillis(Need need, long nowMillis) {
+        long byObjective = (long) (WAIT_OBJECTIVES * need.objectiveMillis()) - (nowMillis - need.arrivedAtMillis());
+        long byDeadline = (long) (WAIT_SHARE * (need.deadlineMillis() - nowMillis));
+        return Math.min(byObjective, byDeadline);
+    }
+
+    /**
+     * Removes a request.
+     *
+     * @param request the request, not null
+     */
+    public void remove(T request) {
+        waiting.removeIf(w -> w.request.equals(request));
+    }
+
+    /**
+     * Returns whether no request waits.
+     *
+     * @return whether the room is empty
+     */
+    public boolean isEmpty() {
+        return waiting.isEmpty();
+    }
+
+    /**
+     * Returns the requests in the order in which they are to be placed.
+     *
+     * @return a copy, never null
+     */
+    public List<T> inOrder() {
+        return waiting.stream().map(w -> w.request).toList();
+    }
+
+    private long expectedWaitMillis(Need need, int servers) {
+        long tokens = 0;
+        for (Waiting<T> each : waiting) {
+            if (!isBefore(need, each.need)) {
+                tokens += each.need.promptTokens();
+            }
+        }
+        return (long) (tokens / (TOKENS_PER_MILLI * Math.max(1, servers)));
+    }
+
+    private static boolean isBefore(Need a, Need b) {
+        return a.arrivedAtMillis() + RANK_MILLIS * a.rank() < b.arrivedAtMillis() + RANK_MILLIS * b.rank();
+    }
+
+    /**
+     * What a waiting request needs.
+     *
+     * @param rank its rank, 0 is the most urgent
+     * @param promptTokens the tokens of its prompt
+     * @param arrivedAtMillis when it arrived
+     * @param objectiveMillis within which time its first event is on time, in milliseconds
+     * @param deadlineMillis when its response must be complete
+     */
+    public record Need(
+            int rank, long promptTokens, long arrivedAtMillis, long objectiveMillis, long deadlineMillis) {}
+
+    private record Waiting<T>(T request, Need need) {}
+}
--- a/gateway/src/main/java/io/hornbeamscale/gateway/Gateway.java
+++ b/gateway/src/main/java/io/hornbeamscale/gateway/Gateway.java
@@ -309,6 +309,7 @@
             }
             thread.execute(() -> {
                 traffic.loads().told(news.node(), loads, now);
+                traffic.placeWaiting();
                 news.loads().forEach(l -> traffic.pace().told(l.server(), l.eventMicros() / MICROS_PER_MILLI));
             });
             if (news.revision() <= follower.knownRevision()) {
--- a/gateway/src/main/java/io/hornbeamscale/gateway/StreamLeg.java
+++ b/gateway/src/main/java/io/hornbeamscale/gateway/StreamLeg.java
@@ -247,6 +247,7 @@
         if (load.prefillTokens() > 0 && !isEnded) {
             relay.traffic().loads().remove(server.id(), new ServerLoad(0, 0, load.prefillTokens()));
             load = new ServerLoad(load.requests(), load.tokens(), 0);
+            relay.traffic().placeWaiting();
         }
     }
 
--- a/gateway/src/main/java/io/hornbeamscale/gateway/StreamRelay.java
+++ b/gateway/src/main/java/io/hornbeamscale/gateway/StreamRelay.java
@@ -4,6 +4,7 @@
 import io.hornbeamscale.core.fleet.Endpoint;
 import io.hornbeamscale.core.fleet.FleetServer;
 import io.hornbeamscale.core.placement.GenerationSize;
+import io.hornbeamscale.core.placement.WaitingRoom;
 import io.hornbeamscale.core.route.EngineSpec;
 import io.undertow.server.HttpServerExchange;
 import io.undertow.util.HeaderMap;
@@ -21,9 +22,6 @@
     /** How often a stream is offered to servers that refuse it. */
     private static final int MAX_OFFERS = 3;
 
-    /** The share of the time to the first event that a request may wait for room. */
-    private static final double WAIT_SHARE = 0.75;
-
     private static final long RETRY_AFTER_MILLIS = 600;
 
     /** How long the second server may take until it goes on, in milliseconds; callers leave after about 6,000. */
@@ -53,7 +51,7 @@
 
     @Override
     void run(long nowMillis) {
-        if (traffic().isAnyWaiting() || !tryPlace()) {
+        if (!traffic().waiting().isEmpty() || !tryPlace()) {
             awaitRoom(nowMillis);
         }
     }
@@ -318,16 +316,21 @@
     }
 
     private void awaitRoom(long nowMillis) {
-        long waited = nowMillis - request().arrivedAtMillis();
-        long limit = (long) (request().route().objectiveMillis() * WAIT_SHARE) - waited;
-        if (limit <= 0) {
-            fail(ErrorKind.OVERLOADED, RETRY_AFTER_MILLIS, "no server has room");
+        WaitingRoom.Need need = new WaitingRoom.Need(
+                request().priority(),
+                size.promptTokens(),
+                request().arrivedAtMillis(),
+                request().route().objectiveMillis(),
+                request().deadlineMillis());
+        Optional<Long> comeAgain = traffic().waiting().offer(this, need, servers().size(), nowMillis);
+        if (comeAgain.isPresent()) {
+            fail(ErrorKind.OVERLOADED, comeAgain.get(), "no server has room in time");
             return;
         }
-        traffic().await(this);
-        after(limit, () -> {
+        traffic().metrics().count("waited");
+        after(WaitingRoom.limitMillis(need, nowMillis), () -> {
             if (leg == null) {
-                fail(ErrorKind.OVERLOADED, RETRY_AFTER_MILLIS, "no server has room");
+                fail(ErrorKind.OVERLOADED, RETRY_AFTER_MILLIS, "no server had room in time");
             }
         });
     }
--- a/gateway/src/main/java/io/hornbeamscale/gateway/Traffic.java
+++ b/gateway/src/main/java/io/hornbeamscale/gateway/Traffic.java
@@ -12,7 +12,7 @@
 import io.hornbeamscale.core.placement.PaceBook;
 import io.hornbeamscale.core.placement.PlainPlacement;
 import io.hornbeamscale.core.placement.ServerLoad;
-import java.util.ArrayList;
+import io.hornbeamscale.core.placement.WaitingRoom;
 import java.util.HashMap;
 import java.util.LinkedHashSet;
 import java.util.List;
@@ -47,7 +47,7 @@
     private final PlainPlacement plain;
     private final RepeatAllowance repeats;
     private final Set<Relay> running = new LinkedHashSet<>();
-    private final List<StreamRelay> waiting = new ArrayList<>();
+    private final WaitingRoom<StreamRelay> waiting = new WaitingRoom<>();
     private final Map<String, Endpoint> known = new HashMap<>();
     private Runnable news = () -> {};
     private boolean isNewsDue;
@@ -179,23 +179,14 @@
         news.run();
     }
 
-    /** Lets a stream wait until a server has room. */
-    void await(StreamRelay stream) {
-        int index = 0;
-        while (index < waiting.size() && !isBefore(stream, waiting.get(index))) {
-            index++;
-        }
-        waiting.add(index, stream);
-    }
-
-    /** Returns whether a stream waits for room. */
-    boolean isAnyWaiting() {
-        return !waiting.isEmpty();
+    /** Returns the streams that wait until a server has room. */
+    WaitingRoom<StreamRelay> waiting() {
+        return waiting;
     }
 
-    /** Offers room to the streams that wait, the most urgent and oldest first. */
+    /** Offers room to the streams that wait, in their order. */
     void placeWaiting() {
-        for (StreamRelay stream : List.copyOf(waiting)) {
+        for (StreamRelay stream : waiting.inOrder()) {
             if (stream.tryPlace()) {
                 waiting.remove(stream);
             }
@@ -229,11 +220,4 @@
         }
         placeWaiting();
     }
-
-    private static boolean isBefore(StreamRelay a, StreamRelay b) {
-        int rank = Integer.compare(a.request().priority(), b.request().priority());
-        return rank != 0
-                ? rank < 0
-                : a.request().arrivedAtMillis() < b.request().arrivedAtMillis();
-    }
 }
