Refuse generations that crash servers; close idle callers; answer entries without addresses

The quarantine of the own interface serves the gateway too: a crash counts only if the server refuses a connection afterwards and was not about to leave.

--- a/core/src/main/java/io/hornbeamscale/core/placement/WaitingRoom.java
+++ b/core/src/main/java/io/hornbeamscale/core/placement/WaitingRoom.java
@@ -115,8 +115,7 @@
      * @param objectiveMillis within which time its first event is on time, in milliseconds
      * @param deadlineMillis when its response must be complete
      */
-    public record Need(
-            int rank, long promptTokens, long arrivedAtMillis, long objectiveMillis, long deadlineMillis) {}
+    public record Need(int rank, long promptTokens, long arrivedAtMillis, long objectiveMillis, long deadlineMillis) {}
 
     private record Waiting<T>(T request, Need need) {}
 }
--- a/daemon/src/main/java/io/hornbeamscale/daemon/QuarantineGate.java
+++ b/daemon/src/main/java/io/hornbeamscale/daemon/QuarantineGate.java
@@ -1,35 +1,25 @@
 package io.hornbeamscale.daemon;
 
-import com.fasterxml.jackson.core.JsonProcessingException;
-import com.fasterxml.jackson.databind.ObjectMapper;
 import io.hornbeamscale.core.entry.EntryRequest;
-import io.hornbeamscale.core.error.ErrorKind;
-import io.hornbeamscale.core.error.ServingException;
 import io.hornbeamscale.core.id.RequestId;
-import io.hornbeamscale.core.quarantine.Conviction;
 import io.hornbeamscale.core.quarantine.CrashReport;
 import io.hornbeamscale.core.quarantine.QuarantineAction;
 import io.hornbeamscale.core.quarantine.QuarantineController;
-import io.hornbeamscale.core.quarantine.QuarantineNews;
 import io.hornbeamscale.core.quarantine.RequestFingerprint;
 import io.hornbeamscale.core.quarantine.Verdict;
 import io.hornbeamscale.core.store.StoreCall;
 import io.hornbeamscale.core.store.StoreReply;
 import io.hornbeamscale.core.work.WorkItem;
+import io.hornbeamscale.wire.QuarantineCodec;
 import io.hornbeamscale.wire.message.Message;
 import io.hornbeamscale.wire.message.Quarantine;
 import java.util.HashMap;
-import java.util.LinkedHashSet;
 import java.util.List;
 import java.util.Map;
-import java.util.Set;
 import java.util.function.Predicate;
 
 /** Refuses requests that have crashed engines, and tells the other entries. Used on the control thread. */
 final class QuarantineGate {
-    private static final String NEWS = "news";
-    private static final ObjectMapper JSON = new ObjectMapper();
-
     private final QuarantineController controller;
     private final Host host;
     private final Map<RequestId, RequestFingerprint> open = new HashMap<>();
@@ -77,9 +67,7 @@
 
     /** Handles news of another entry. */
     void received(Quarantine message, long nowMillis) {
-        if (message.kind().equals(NEWS)) {
-            carryOut(controller.told(read(message.content()), nowMillis));
-        }
+        QuarantineCodec.decode(message).ifPresent(news -> carryOut(controller.told(news, nowMillis)));
     }
 
     void storeReplied(StoreCall call, StoreReply reply, long nowMillis) {
@@ -97,7 +85,7 @@
             if (action instanceof QuarantineAction.CallStore a) {
                 host.callStore(a.call());
             } else if (action instanceof QuarantineAction.SendPeers a) {
-                host.sendPeers(new Quarantine(NEWS, write(a.news())));
+                host.sendPeers(QuarantineCodec.encode(a.news()));
             } else if (action instanceof QuarantineAction.Refuse a) {
                 refuse(a.fingerprint());
             }
@@ -113,44 +101,6 @@
         }
     }
 
-    private static String write(QuarantineNews news) {
-        List<Crash> reports = news.reports().stream()
-                .map(r -> new Crash(r.crashId(), digests(r.inFlight())))
-                .toList();
-        List<Refusal> refusals = news.convictions().stream()
-                .map(c -> new Refusal(c.fingerprint().digest(), c.expiresMillis()))
-                .toList();
-        try {
-            return JSON.writeValueAsString(
-                    new News(reports, List.copyOf(digests(new LinkedHashSet<>(news.cleared()))), refusals));
-        } catch (JsonProcessingException e) {
-            throw new IllegalStateException("cannot write quarantine news", e);
-        }
-    }
-
-    private static List<String> digests(Set<RequestFingerprint> fingerprints) {
-        return fingerprints.stream().map(RequestFingerprint::digest).toList();
-    }
-
-    private static QuarantineNews read(String content) {
-        try {
-            News news = JSON.readValue(content, News.class);
-            List<CrashReport> reports = news.reports().stream()
-                    .map(c -> new CrashReport(c.id(), Set.copyOf(fingerprints(c.requests()))))
-                    .toList();
-            List<Conviction> convictions = news.convictions().stream()
-                    .map(r -> new Conviction(new RequestFingerprint(r.request()), r.until()))
-                    .toList();
-            return new QuarantineNews(reports, fingerprints(news.cleared()), convictions);
-        } catch (JsonProcessingException | IllegalArgumentException | NullPointerException e) {
-            throw new ServingException(ErrorKind.BAD_FRAME, "quarantine news is malformed: " + e.getMessage());
-        }
-    }
-
-    private static List<RequestFingerprint> fingerprints(List<String> digests) {
-        return digests.stream().map(RequestFingerprint::new).toList();
-    }
-
     /** What the gate asks its daemon to do. */
     interface Host {
         void callStore(StoreCall call);
@@ -160,10 +110,4 @@
         /** Ends a running or waiting request with {@code request_quarantined}. */
         void refuse(RequestId request);
     }
-
-    private record News(List<Crash> reports, List<String> cleared, List<Refusal> convictions) {}
-
-    private record Crash(String id, List<String> requests) {}
-
-    private record Refusal(String request, long until) {}
 }
--- a/gateway/src/main/java/io/hornbeamscale/gateway/BackendClient.java
+++ b/gateway/src/main/java/io/hornbeamscale/gateway/BackendClient.java
@@ -9,6 +9,7 @@
 import java.util.Deque;
 import java.util.HashMap;
 import java.util.Map;
+import java.util.function.Consumer;
 import org.xnio.XnioIoThread;
 
 /**
@@ -71,6 +72,18 @@
         return exchange;
     }
 
+    /**
+     * Finds out whether a server accepts connections.
+     *
+     * @param to the address of the server, not null
+     * @param limitMillis how long it may take, in milliseconds
+     * @param done hears once whether a connection was opened, not null
+     */
+    public void probe(Endpoint to, long limitMillis, Consumer<Boolean> done) {
+        opened++;
+        new ConnectProbe(this, to, limitMillis, done).begin();
+    }
+
     /**
      * Closes the connections to a server that are not in use.
      *
--- a/gateway/src/main/java/io/hornbeamscale/gateway/BackendExchange.java
+++ b/gateway/src/main/java/io/hornbeamscale/gateway/BackendExchange.java
@@ -85,7 +85,7 @@
                         () -> fail(Failure.NOT_SENT, "no connection within " + request.connectMillis() + " ms"),
                         request.connectMillis(),
                         TimeUnit.MILLISECONDS);
-        URI uri = URI.create("http://" + to.toString());
+        URI uri = URI.create("http://" + to);
         UndertowClient.getInstance()
                 .connect(
                         new ClientCallback<ClientConnection>() {
--- a/gateway/src/main/java/io/hornbeamscale/gateway/DecisionLog.java
+++ b/gateway/src/main/java/io/hornbeamscale/gateway/DecisionLog.java
@@ -92,6 +92,20 @@
         }
     }
 
+    /** A server crashed while it ran requests. */
+    void crashSeen(String server, int requests) {
+        if (isAllowed("crash")) {
+            fleet.info(new Line().with("event", "crash").with("server", server).with("requests", requests));
+        }
+    }
+
+    /** A request was found to crash servers. */
+    void convicted(String fingerprint) {
+        if (isAllowed("convicted")) {
+            fleet.info(new Line().with("event", "convicted").with("fingerprint", fingerprint));
+        }
+    }
+
     /** The belief about a backend server has changed. */
     void serverEvent(String id, String state, String source, long revision) {
         if (isAllowed("server")) {
--- a/gateway/src/main/java/io/hornbeamscale/gateway/Gateway.java
+++ b/gateway/src/main/java/io/hornbeamscale/gateway/Gateway.java
@@ -6,9 +6,12 @@
 import io.hornbeamscale.core.fleet.FleetController;
 import io.hornbeamscale.core.fleet.FleetSnapshot;
 import io.hornbeamscale.core.placement.ServerLoad;
+import io.hornbeamscale.core.quarantine.QuarantineController;
+import io.hornbeamscale.core.quarantine.QuarantineNews;
 import io.hornbeamscale.core.route.RouteDocument;
 import io.hornbeamscale.core.util.Arguments;
 import io.hornbeamscale.wire.FrameLoop;
+import io.hornbeamscale.wire.QuarantineCodec;
 import io.hornbeamscale.wire.message.EntryNews;
 import io.hornbeamscale.wire.message.ItemsNews;
 import io.hornbeamscale.wire.message.ItemsWanted;
@@ -56,6 +59,9 @@
     /** How long the store may be later than another entry before that entry is asked, in milliseconds. */
     private static final long BEHIND_MILLIS = 100;
 
+    /** How long a request that crashed servers is refused, in milliseconds. */
+    private static final long CONVICTION_MILLIS = 600_000;
+
     private static final long SWEEP_MILLIS = 1_000;
     private static final double MICROS_PER_MILLI = 1_000;
 
@@ -74,6 +80,7 @@
     private final PeerLinks peers;
     private final EntryRegistration registration;
     private final StopController stops;
+    private final GatewayHandler handler;
     private final GatewayServer server;
     private long nextNewsMillis;
     private long behindSinceMillis;
@@ -103,6 +110,11 @@
         MetadataStore store = stores.create(settings.store(), new BackendClient(thread, buffers), thread);
         follower = new StoreFollower(store, schema, fleet, control::execute, this::later, new Follows(), log);
         peers = new PeerLinks(frames, control::execute, new Peers(), log);
+        traffic.setCrashes(new CrashWatch(
+                traffic,
+                new QuarantineController(CONVICTION_MILLIS, System.currentTimeMillis() - ControlLoop.now(), random),
+                news -> control.execute(() -> peers.broadcast(QuarantineCodec.encode(news), ControlLoop.now())),
+                new QuarantineStore(store, schema.ownPrefix(), traffic)::call));
         String address = settings.ip() + ":" + settings.peerPort();
         registration = new EntryRegistration(
                 store,
@@ -111,13 +123,8 @@
                 control::execute,
                 this::later);
         stops = new StopController(settings.graceMillis());
-        server = new GatewayServer(
-                settings,
-                worker,
-                buffers,
-                new GatewayHandler(traffic, () -> blackboard.get(DOCUMENT), stops),
-                this::isReady,
-                metrics);
+        handler = new GatewayHandler(traffic, () -> blackboard.get(DOCUMENT), stops);
+        server = new GatewayServer(settings, worker, buffers, handler, this::isReady, metrics);
     }
 
     /** Starts to listen and to follow the store. */
@@ -191,6 +198,8 @@
     private void sweep() {
         traffic.client().sweep(ControlLoop.now());
         traffic.placeWaiting();
+        traffic.crashes().tick(ControlLoop.now());
+        handler.sweep(ControlLoop.now());
     }
 
     private void tick() {
@@ -326,6 +335,11 @@
             }
         }
 
+        @Override
+        public void crashes(QuarantineNews news) {
+            thread.execute(() -> traffic.crashes().told(news, ControlLoop.now()));
+        }
+
         @Override
         public ItemsNews wanted(ItemsWanted wanted) {
             StoreFollower.Passed passed = follower.changesAfter(wanted.afterRevision());
--- a/gateway/src/main/java/io/hornbeamscale/gateway/GatewayHandler.java
+++ b/gateway/src/main/java/io/hornbeamscale/gateway/GatewayHandler.java
@@ -1,6 +1,5 @@
 package io.hornbeamscale.gateway;
 
-import io.hornbeamscale.core.error.ErrorAnswers;
 import io.hornbeamscale.core.error.ErrorKind;
 import io.hornbeamscale.core.route.Customer;
 import io.hornbeamscale.core.route.RequestKind;
@@ -15,7 +14,6 @@
 import io.undertow.util.Headers;
 import io.undertow.util.SameThreadExecutor;
 import java.nio.ByteBuffer;
-import java.nio.charset.StandardCharsets;
 import java.util.Optional;
 import java.util.function.Supplier;
 
@@ -27,6 +25,7 @@
     private final Traffic traffic;
     private final Supplier<Optional<RouteDocument>> document;
     private final Stopping stopping;
+    private final CallerConnections connections = new CallerConnections();
 
     GatewayHandler(Traffic traffic, Supplier<Optional<RouteDocument>> document, Stopping stopping) {
         this.traffic = traffic;
@@ -34,9 +33,15 @@
         this.stopping = stopping;
     }
 
+    /** Closes connections that were idle for longer than the document allows. */
+    void sweep(long nowMillis) {
+        document.get().ifPresent(rules -> connections.sweep(rules.limits().idleTimeoutMillis(), nowMillis));
+    }
+
     @Override
     public void handleRequest(HttpServerExchange exchange) {
         long now = ControlLoop.now();
+        connections.began(exchange);
         CallerHead head = traffic.codec().decodeCaller(exchange.getRequestHeaders());
         Optional<RouteDocument> present = document.get();
         if (present.isEmpty()) {
@@ -118,10 +123,14 @@
         if (stopping.isStopping()) {
             exchange.setPersistent(false);
         }
+        boolean isStream = route.kind() == RequestKind.STREAMING
+                && request.service().engine().isPresent();
+        if (isStream && traffic.crashes().isConvicted(request, arrivedAtMillis)) {
+            refuse(exchange, head, ErrorKind.REQUEST_QUARANTINED, -1, "the request has crashed servers");
+            return;
+        }
         exchange.dispatch(SameThreadExecutor.INSTANCE, () -> {
             CallerWatch.start(exchange);
-            boolean isStream = route.kind() == RequestKind.STREAMING
-                    && request.service().engine().isPresent();
             Relay relay =
                     isStream ? new StreamRelay(traffic, exchange, request) : new PlainRelay(traffic, exchange, request);
             relay.begin(ControlLoop.now());
@@ -130,12 +139,12 @@
 
     private void refuse(
             HttpServerExchange exchange, CallerHead head, ErrorKind kind, long retryAfterMillis, String why) {
-        int status = ErrorAnswers.of(kind).httpStatus();
+        int status = OwnAnswers.status(kind);
         traffic.metrics().refused(status);
         traffic.log().refused(head.requestId().orElse("-"), status, why);
         exchange.setStatusCode(status);
         traffic.codec().encodeOwn(exchange.getResponseHeaders(), head.requestId(), retryAfterMillis);
-        byte[] body = ("{\"error\":\"" + kind.code() + "\"}\n").getBytes(StandardCharsets.UTF_8);
+        byte[] body = OwnAnswers.body(kind);
         exchange.dispatch(SameThreadExecutor.INSTANCE, () -> new CallerResponse(exchange).respond(body));
     }
 
--- a/gateway/src/main/java/io/hornbeamscale/gateway/MetadataStore.java
+++ b/gateway/src/main/java/io/hornbeamscale/gateway/MetadataStore.java
@@ -39,6 +39,17 @@
      */
     void put(String key, byte[] value, long lease, Consumer<StoreResult> done);
 
+    /**
+     * Writes a value if the key was not changed since it was read.
+     *
+     * @param key the key, not null
+     * @param expectedRevision the revision of the key that was read, 0 if it was absent
+     * @param value the value, not null
+     * @param done receives {@link StoreResult.Written}, {@link StoreResult.Conflict} or
+     *     {@link StoreResult.Unavailable}
+     */
+    void compareAndPut(String key, long expectedRevision, byte[] value, Consumer<StoreResult> done);
+
     /**
      * Creates a lease.
      *
--- a/gateway/src/main/java/io/hornbeamscale/gateway/PeerLinks.java
+++ b/gateway/src/main/java/io/hornbeamscale/gateway/PeerLinks.java
@@ -1,17 +1,19 @@
 package io.hornbeamscale.gateway;
 
 import io.hornbeamscale.core.fleet.Endpoint;
+import io.hornbeamscale.core.quarantine.QuarantineNews;
 import io.hornbeamscale.wire.FrameConnection;
 import io.hornbeamscale.wire.FrameListener;
 import io.hornbeamscale.wire.FrameLoop;
+import io.hornbeamscale.wire.QuarantineCodec;
 import io.hornbeamscale.wire.message.EntryNews;
 import io.hornbeamscale.wire.message.ItemsNews;
 import io.hornbeamscale.wire.message.ItemsWanted;
 import io.hornbeamscale.wire.message.Message;
+import io.hornbeamscale.wire.message.Quarantine;
 import java.net.InetSocketAddress;
 import java.util.ArrayList;
 import java.util.HashMap;
-import java.util.List;
 import java.util.Map;
 import java.util.function.Consumer;
 
@@ -34,6 +36,7 @@
     private final Listener listener;
     private final DecisionLog log;
     private final Map<String, Link> links = new HashMap<>();
+    private final Map<String, FrameConnection> incoming = new HashMap<>();
 
     PeerLinks(FrameLoop loop, Consumer<Runnable> control, Listener listener, DecisionLog log) {
         this.loop = loop;
@@ -80,8 +83,12 @@
     /** Sends a message to one entry. */
     void send(String name, Message message, long nowMillis) {
         Link link = links.get(name);
-        if (link != null) {
+        FrameConnection back = incoming.get(name);
+        if (link != null && link.isOpen) {
             link.send(message, nowMillis);
+        } else if (back != null) {
+            // A process that has just started knows no addresses while the store is away, but others know its own.
+            back.send(message);
         }
     }
 
@@ -93,11 +100,14 @@
     private void received(FrameConnection connection, Message message) {
         control.accept(() -> {
             if (message instanceof EntryNews news) {
+                incoming.put(news.node(), connection);
                 listener.news(news);
             } else if (message instanceof ItemsWanted wanted) {
                 connection.send(listener.wanted(wanted));
             } else if (message instanceof ItemsNews items) {
                 listener.items(items);
+            } else if (message instanceof Quarantine news) {
+                QuarantineCodec.decode(news).ifPresent(listener::crashes);
             }
         });
     }
@@ -107,6 +117,9 @@
         /** Another entry's regular news. */
         void news(EntryNews news);
 
+        /** Another entry has seen servers crash. */
+        void crashes(QuarantineNews news);
+
         /** Another entry asks for changes. */
         ItemsNews wanted(ItemsWanted wanted);
 
@@ -127,7 +140,7 @@
 
         @Override
         public void closed(FrameConnection connection, String reason) {
-            // The peer opens a new connection when it can.
+            control.accept(() -> incoming.values().remove(connection));
         }
     }
 
@@ -193,9 +206,4 @@
             });
         }
     }
-
-    /** Returns the names of the known entries. */
-    List<String> names() {
-        return List.copyOf(links.keySet());
-    }
 }
--- /dev/null
+++ b/gateway/src/main/java/io/hornbeamscale/gateway/QuarantineStore.java
@@ -0,0 +1,54 @@
+package io.hornbeamscale.gateway;
+
+import io.hornbeamscale.core.store.StoreCall;
+import io.hornbeamscale.core.store.StoreReply;
+import java.nio.charset.StandardCharsets;
+
+/** Carries out the store calls of the quarantine. */
+final class QuarantineStore {
+    private final MetadataStore store;
+    private final String prefix;
+    private final Traffic traffic;
+
+    QuarantineStore(MetadataStore store, String prefix, Traffic traffic) {
+        this.store = store;
+        this.prefix = prefix;
+        this.traffic = traffic;
+    }
+
+    void call(StoreCall call) {
+        String key = prefix + call.key();
+        if (call instanceof StoreCall.CompareAndSwap swap) {
+            byte[] value = swap.value().getBytes(StandardCharsets.UTF_8);
+            store.compareAndPut(key, swap.expectedRevision(), value, result -> reply(call, written(call, result)));
+        } else {
+            store.list(key, "", result -> reply(call, found(call, key, result)));
+        }
+    }
+
+    private void reply(StoreCall call, StoreReply reply) {
+        traffic.thread().execute(() -> traffic.crashes().storeReplied(call, reply, ControlLoop.now()));
+    }
+
+    private static StoreReply written(StoreCall call, StoreResult result) {
+        if (result instanceof StoreResult.Written written) {
+            return new StoreReply.Swapped(call.key(), written.revision());
+        }
+        return result instanceof StoreResult.Conflict
+                ? new StoreReply.Conflict(call.key(), 0)
+                : new StoreReply.NoAnswer(call.key());
+    }
+
+    private static StoreReply found(StoreCall call, String key, StoreResult result) {
+        if (!(result instanceof StoreResult.Items items)) {
+            return new StoreReply.NoAnswer(call.key());
+        }
+        for (StoreItem item : items.items()) {
+            if (item.key().equals(key) && !item.isRemoved()) {
+                return new StoreReply.Found(
+                        call.key(), item.revision(), new String(item.value(), StandardCharsets.UTF_8));
+            }
+        }
+        return new StoreReply.Missing(call.key());
+    }
+}
--- a/gateway/src/main/java/io/hornbeamscale/gateway/Relay.java
+++ b/gateway/src/main/java/io/hornbeamscale/gateway/Relay.java
@@ -1,10 +1,8 @@
 package io.hornbeamscale.gateway;
 
-import io.hornbeamscale.core.error.ErrorAnswers;
 import io.hornbeamscale.core.error.ErrorKind;
 import io.undertow.server.HttpServerExchange;
 import io.undertow.util.HeaderMap;
-import java.nio.charset.StandardCharsets;
 import java.util.concurrent.TimeUnit;
 import org.xnio.XnioExecutor;
 
@@ -108,17 +106,13 @@
             finished(0, why);
             return;
         }
-        int status = ErrorAnswers.of(kind).httpStatus();
+        int status = OwnAnswers.status(kind);
         exchange.setStatusCode(status);
         traffic.codec().encodeOwn(exchange.getResponseHeaders(), request.head().requestId(), retryAfterMillis);
-        response.respond(text(kind));
+        response.respond(OwnAnswers.body(kind));
         finished(status, kind.code() + ": " + why);
     }
 
-    private static byte[] text(ErrorKind kind) {
-        return ("{\"error\":\"" + kind.code() + "\"}\n").getBytes(StandardCharsets.UTF_8);
-    }
-
     private void deadlinePassed() {
         if (isEnded) {
             return;
--- a/gateway/src/main/java/io/hornbeamscale/gateway/StoreSchema.java
+++ b/gateway/src/main/java/io/hornbeamscale/gateway/StoreSchema.java
@@ -34,6 +34,13 @@
      */
     String entryPrefix();
 
+    /**
+     * Returns the prefix of the other keys that entries write.
+     *
+     * @return the prefix, never null
+     */
+    String ownPrefix();
+
     /**
      * Decodes the document.
      *
--- a/gateway/src/main/java/io/hornbeamscale/gateway/StreamRelay.java
+++ b/gateway/src/main/java/io/hornbeamscale/gateway/StreamRelay.java
@@ -203,6 +203,7 @@
         }
         finishPassing("server " + from.server().id());
         cancelSends();
+        traffic().crashes().completed(request(), ControlLoop.now());
     }
 
     /** The server answered with a failure, after it may have run the request. */
@@ -222,6 +223,7 @@
             handOverFailed(from, why);
             return;
         }
+        traffic().crashes().broke(from.server(), request());
         if (next != null) {
             // The other server goes on, or the time for that runs out.
             return;
@@ -322,7 +324,8 @@
                 request().arrivedAtMillis(),
                 request().route().objectiveMillis(),
                 request().deadlineMillis());
-        Optional<Long> comeAgain = traffic().waiting().offer(this, need, servers().size(), nowMillis);
+        Optional<Long> comeAgain =
+                traffic().waiting().offer(this, need, servers().size(), nowMillis);
         if (comeAgain.isPresent()) {
             fail(ErrorKind.OVERLOADED, comeAgain.get(), "no server has room in time");
             return;
--- a/gateway/src/main/java/io/hornbeamscale/gateway/Traffic.java
+++ b/gateway/src/main/java/io/hornbeamscale/gateway/Traffic.java
@@ -49,6 +49,7 @@
     private final Set<Relay> running = new LinkedHashSet<>();
     private final WaitingRoom<StreamRelay> waiting = new WaitingRoom<>();
     private final Map<String, Endpoint> known = new HashMap<>();
+    private CrashWatch crashes;
     private Runnable news = () -> {};
     private boolean isNewsDue;
 
@@ -169,6 +170,14 @@
         }
     }
 
+    CrashWatch crashes() {
+        return crashes;
+    }
+
+    void setCrashes(CrashWatch watch) {
+        crashes = watch;
+    }
+
     /** Sets what tells the other entries of the load. */
     void setNews(Runnable task) {
         news = task;
--- /dev/null
+++ b/wire/src/main/java/io/hornbeamscale/wire/QuarantineCodec.java
@@ -0,0 +1,82 @@
+package io.hornbeamscale.wire;
+
+import com.fasterxml.jackson.core.JsonProcessingException;
+import com.fasterxml.jackson.databind.ObjectMapper;
+import io.hornbeamscale.core.error.ErrorKind;
+import io.hornbeamscale.core.error.ServingException;
+import io.hornbeamscale.core.quarantine.Conviction;
+import io.hornbeamscale.core.quarantine.CrashReport;
+import io.hornbeamscale.core.quarantine.QuarantineNews;
+import io.hornbeamscale.core.quarantine.RequestFingerprint;
+import io.hornbeamscale.wire.message.Quarantine;
+import java.util.Collection;
+import java.util.List;
+import java.util.Optional;
+import java.util.Set;
+
+/** Translates what entries tell each other of crashes to and from messages. */
+public final class QuarantineCodec {
+    private static final String NEWS = "news";
+    private static final ObjectMapper JSON = new ObjectMapper();
+
+    private QuarantineCodec() {}
+
+    /**
+     * Encodes news.
+     *
+     * @param news the news, not null
+     * @return the message, never null
+     */
+    public static Quarantine encode(QuarantineNews news) {
+        List<Crash> reports = news.reports().stream()
+                .map(r -> new Crash(r.crashId(), digests(r.inFlight())))
+                .toList();
+        List<Refusal> refusals = news.convictions().stream()
+                .map(c -> new Refusal(c.fingerprint().digest(), c.expiresMillis()))
+                .toList();
+        try {
+            return new Quarantine(NEWS, JSON.writeValueAsString(new News(reports, digests(news.cleared()), refusals)));
+        } catch (JsonProcessingException e) {
+            throw new IllegalStateException("cannot write quarantine news", e);
+        }
+    }
+
+    /**
+     * Decodes news.
+     *
+     * @param message the message, not null
+     * @return the news, empty if the message is of another kind
+     * @throws ServingException of kind {@link ErrorKind#BAD_FRAME} if the content is malformed
+     */
+    public static Optional<QuarantineNews> decode(Quarantine message) {
+        if (!message.kind().equals(NEWS)) {
+            return Optional.empty();
+        }
+        try {
+            News news = JSON.readValue(message.content(), News.class);
+            List<CrashReport> reports = news.reports().stream()
+                    .map(c -> new CrashReport(c.id(), Set.copyOf(fingerprints(c.requests()))))
+                    .toList();
+            List<Conviction> convictions = news.convictions().stream()
+                    .map(r -> new Conviction(new RequestFingerprint(r.request()), r.until()))
+                    .toList();
+            return Optional.of(new QuarantineNews(reports, fingerprints(news.cleared()), convictions));
+        } catch (JsonProcessingException | IllegalArgumentException | NullPointerException e) {
+            throw new ServingException(ErrorKind.BAD_FRAME, "quarantine news is malformed: " + e.getMessage());
+        }
+    }
+
+    private static List<String> digests(Collection<RequestFingerprint> fingerprints) {
+        return fingerprints.stream().map(RequestFingerprint::digest).toList();
+    }
+
+    private static List<RequestFingerprint> fingerprints(List<String> digests) {
+        return digests.stream().map(RequestFingerprint::new).toList();
+    }
+
+    private record News(List<Crash> reports, List<String> cleared, List<Refusal> convictions) {}
+
+    private record Crash(String id, List<String> requests) {}
+
+    private record Refusal(String request, long until) {}
+}
