Ask servers whether they leave while the store is silent

Change: reports are asked for while neither this entry nor another hears from the store; the word is passed on.

--- a/core/src/main/java/io/hornbeamscale/core/fleet/FleetController.java
+++ b/core/src/main/java/io/hornbeamscale/core/fleet/FleetController.java
@@ -55,6 +55,25 @@
         isChanged = true;
     }
 
+    /**
+     * Handles the word of a server itself, or of another entry, that the server leaves. It counts for the server's present
+     * life; a later registration may revoke it.
+     *
+     * @param id the id of the server, not null
+     * @param startedAtMillis the start of the life that ends
+     * @param nowMillis the present time
+     * @return whether this is news
+     */
+    public boolean saidToLeave(String id, long startedAtMillis, long nowMillis) {
+        Entry entry = entries.get(id);
+        if (entry == null || entry.leavingSince > 0 || entry.record.startedAtMillis() != startedAtMillis) {
+            return false;
+        }
+        entries.put(id, new Entry(entry.record, entry.revision, nowMillis, entry.vanishedAt));
+        isChanged = true;
+        return true;
+    }
+
     /**
      * Handles the removal of a registration.
      *
--- a/core/src/test/java/io/hornbeamscale/core/fleet/FleetControllerTest.java
+++ b/core/src/test/java/io/hornbeamscale/core/fleet/FleetControllerTest.java
@@ -111,6 +111,32 @@
         }
     }
 
+    @Nested
+    class OwnWord {
+        @BeforeEach
+        void register() {
+            fleet.registered(record("a", START, 1, false), 1, 5_000);
+        }
+
+        @Test
+        void stopsRequestsAtOnce() {
+            assertTrue(fleet.saidToLeave("a", START, 5_100));
+            assertEquals(0, ready());
+        }
+
+        @Test
+        void isNewsOnlyOnce() {
+            fleet.saidToLeave("a", START, 5_100);
+            assertEquals(false, fleet.saidToLeave("a", START, 5_200));
+        }
+
+        @Test
+        void ofAnotherLifeChangesNothing() {
+            assertEquals(false, fleet.saidToLeave("a", START - 1, 5_100));
+            assertEquals(1, ready());
+        }
+    }
+
     @Nested
     class Outage {
         @BeforeEach
--- a/gateway/src/main/java/io/hornbeamscale/gateway/ExchangeCodec.java
+++ b/gateway/src/main/java/io/hornbeamscale/gateway/ExchangeCodec.java
@@ -59,6 +59,22 @@
      */
     EngineCall moveCall(String requestId, String target, boolean isLast);
 
+    /**
+     * Builds the call that asks an engine for its report.
+     *
+     * @return the call, never null
+     */
+    EngineCall reportCall();
+
+    /**
+     * Decodes whether an engine's report says that it is about to leave.
+     *
+     * @param status the status code, {@link ShortCall#NO_RESPONSE} if there is no response
+     * @param body the body, not null
+     * @return whether the report says so; false if it cannot be read
+     */
+    boolean isLeaving(int status, byte[] body);
+
     /**
      * Builds the call that frees a copy.
      *
--- a/gateway/src/main/java/io/hornbeamscale/gateway/Gateway.java
+++ b/gateway/src/main/java/io/hornbeamscale/gateway/Gateway.java
@@ -4,6 +4,7 @@
 import io.hornbeamscale.core.blackboard.BlackboardKey;
 import io.hornbeamscale.core.fleet.Endpoint;
 import io.hornbeamscale.core.fleet.FleetController;
+import io.hornbeamscale.core.fleet.FleetServer;
 import io.hornbeamscale.core.fleet.FleetSnapshot;
 import io.hornbeamscale.core.placement.ServerLoad;
 import io.hornbeamscale.core.quarantine.QuarantineController;
@@ -15,6 +16,7 @@
 import io.hornbeamscale.wire.message.EntryNews;
 import io.hornbeamscale.wire.message.ItemsNews;
 import io.hornbeamscale.wire.message.ItemsWanted;
+import io.hornbeamscale.wire.message.Leaving;
 import io.undertow.connector.ByteBufferPool;
 import io.undertow.server.DefaultByteBufferPool;
 import java.io.IOException;
@@ -62,6 +64,9 @@
     /** How long a request that crashed servers is refused, in milliseconds. */
     private static final long CONVICTION_MILLIS = 600_000;
 
+    /** How long nobody may hear from the store before servers are asked themselves, in milliseconds. */
+    private static final long STORE_SILENT_MILLIS = 400;
+
     private static final long SWEEP_MILLIS = 1_000;
     private static final double MICROS_PER_MILLI = 1_000;
 
@@ -75,6 +80,7 @@
     private final FleetController fleet = new FleetController();
     private final FrameLoop frames = new FrameLoop("entries");
     private final Traffic traffic;
+    private final ReportWatch reports;
     private final ControlLoop control;
     private final StoreFollower follower;
     private final PeerLinks peers;
@@ -84,6 +90,8 @@
     private final GatewayServer server;
     private long nextNewsMillis;
     private long behindSinceMillis;
+    private long storeHeardMillis;
+    private long leavingSigns;
 
     /**
      * Creates an entry that is not started.
@@ -115,6 +123,7 @@
                 new QuarantineController(CONVICTION_MILLIS, System.currentTimeMillis() - ControlLoop.now(), random),
                 news -> control.execute(() -> peers.broadcast(QuarantineCodec.encode(news), ControlLoop.now())),
                 new QuarantineStore(store, schema.ownPrefix(), traffic)::call));
+        reports = new ReportWatch(traffic, server -> control.execute(() -> saidToLeave(server)));
         String address = settings.ip() + ":" + settings.peerPort();
         registration = new EntryRegistration(
                 store,
@@ -207,6 +216,8 @@
         fleet.tick(now);
         follower.tick(now);
         publishFleet();
+        boolean isStoreSilent = follower.isAway() && now - storeHeardMillis > STORE_SILENT_MILLIS;
+        thread.execute(() -> reports.setActive(isStoreSilent));
         if (now >= nextNewsMillis) {
             thread.execute(this::collectNews);
         }
@@ -219,6 +230,18 @@
         control.execute(() -> sendNews(loads, pace));
     }
 
+    /** Stops requests to a server that says itself that it leaves, and tells the other entries. */
+    private void saidToLeave(FleetServer server) {
+        long started = server.record().startedAtMillis();
+        if (!fleet.saidToLeave(server.id(), started, ControlLoop.now())) {
+            return;
+        }
+        log.serverEvent(server.id(), "leaving", "its report", 0);
+        publishFleet();
+        Leaving.Sign sign = new Leaving.Sign(server.id(), started, settings.node(), 0, ++leavingSigns);
+        peers.broadcast(new Leaving(List.of(sign)), ControlLoop.now());
+    }
+
     private void publishFleet() {
         FleetSnapshot snapshot = fleet.snapshot();
         if (blackboard.get(FleetSnapshot.KEY).orElse(null) != snapshot) {
@@ -243,7 +266,13 @@
                     Math.round(pace.getOrDefault(id, 0.0) * MICROS_PER_MILLI)));
         }
         peers.broadcast(
-                new EntryNews(settings.node(), follower.knownRevision(), follower.documentVersion(), loads), now);
+                new EntryNews(
+                        settings.node(),
+                        follower.knownRevision(),
+                        follower.documentVersion(),
+                        !follower.isAway(),
+                        loads),
+                now);
     }
 
     private static byte[] bytes(ByteBuffer buffer) {
@@ -321,6 +350,9 @@
                 traffic.placeWaiting();
                 news.loads().forEach(l -> traffic.pace().told(l.server(), l.eventMicros() / MICROS_PER_MILLI));
             });
+            if (news.hasStore()) {
+                storeHeardMillis = now;
+            }
             if (news.revision() <= follower.knownRevision()) {
                 return;
             }
@@ -335,6 +367,16 @@
             }
         }
 
+        @Override
+        public void leaving(Leaving signs) {
+            for (Leaving.Sign sign : signs.signs()) {
+                if (fleet.saidToLeave(sign.node(), sign.incarnation(), ControlLoop.now())) {
+                    log.serverEvent(sign.node(), "leaving", sign.issuer(), 0);
+                }
+            }
+            publishFleet();
+        }
+
         @Override
         public void crashes(QuarantineNews news) {
             thread.execute(() -> traffic.crashes().told(news, ControlLoop.now()));
--- a/gateway/src/main/java/io/hornbeamscale/gateway/PeerLinks.java
+++ b/gateway/src/main/java/io/hornbeamscale/gateway/PeerLinks.java
@@ -9,6 +9,7 @@
 import io.hornbeamscale.wire.message.EntryNews;
 import io.hornbeamscale.wire.message.ItemsNews;
 import io.hornbeamscale.wire.message.ItemsWanted;
+import io.hornbeamscale.wire.message.Leaving;
 import io.hornbeamscale.wire.message.Message;
 import io.hornbeamscale.wire.message.Quarantine;
 import java.net.InetSocketAddress;
@@ -106,6 +107,8 @@
                 connection.send(listener.wanted(wanted));
             } else if (message instanceof ItemsNews items) {
                 listener.items(items);
+            } else if (message instanceof Leaving signs) {
+                listener.leaving(signs);
             } else if (message instanceof Quarantine news) {
                 QuarantineCodec.decode(news).ifPresent(listener::crashes);
             }
@@ -117,6 +120,9 @@
         /** Another entry's regular news. */
         void news(EntryNews news);
 
+        /** Another entry was told by servers that they leave. */
+        void leaving(Leaving signs);
+
         /** Another entry has seen servers crash. */
         void crashes(QuarantineNews news);
 
--- a/gateway/src/main/java/io/hornbeamscale/gateway/StoreFollower.java
+++ b/gateway/src/main/java/io/hornbeamscale/gateway/StoreFollower.java
@@ -86,6 +86,11 @@
         return knownRevision;
     }
 
+    /** Returns whether the store does not answer. */
+    boolean isAway() {
+        return isAway;
+    }
+
     /** Returns the version of the document in force, 0 if there is none. */
     long documentVersion() {
         return document == null ? 0 : document.version();
--- a/gateway/src/main/java/io/hornbeamscale/gateway/StreamRelay.java
+++ b/gateway/src/main/java/io/hornbeamscale/gateway/StreamRelay.java
@@ -98,6 +98,13 @@
         return true;
     }
 
+    /** Returns the id of the server that runs the stream, empty if none does. */
+    Optional<String> serverId() {
+        return leg == null || leg.isEnded()
+                ? Optional.empty()
+                : Optional.of(leg.server().id());
+    }
+
     EngineSpec engine() {
         return request().service().engine().orElseThrow();
     }
--- a/gateway/src/main/java/io/hornbeamscale/gateway/Traffic.java
+++ b/gateway/src/main/java/io/hornbeamscale/gateway/Traffic.java
@@ -20,7 +20,9 @@
 import java.util.Optional;
 import java.util.Set;
 import java.util.concurrent.TimeUnit;
+import java.util.function.Function;
 import java.util.random.RandomGenerator;
+import java.util.stream.Collectors;
 import org.xnio.XnioIoThread;
 
 /** The state of the traffic thread: running requests, the load they put on servers, and what was learned of servers. */
@@ -188,6 +190,15 @@
         news.run();
     }
 
+    /** Returns how many streams of this entry each server runs. */
+    Map<String, Long> streamsByServer() {
+        return running.stream()
+                .filter(StreamRelay.class::isInstance)
+                .map(relay -> ((StreamRelay) relay).serverId())
+                .flatMap(Optional::stream)
+                .collect(Collectors.groupingBy(Function.identity(), Collectors.counting()));
+    }
+
     /** Returns the streams that wait until a server has room. */
     WaitingRoom<StreamRelay> waiting() {
         return waiting;
--- a/wire/src/main/java/io/hornbeamscale/wire/message/EntryNews.java
+++ b/wire/src/main/java/io/hornbeamscale/wire/message/EntryNews.java
@@ -9,12 +9,14 @@
  * @param node the name of the entry's VM; null means empty
  * @param revision the store's revision up to which the entry knows all changes
  * @param documentVersion the version of the document in force at the entry, 0 if it has none
+ * @param hasStore whether the store answers this entry
  * @param loads the load that the entry has placed on backend servers; null means none
  */
 public record EntryNews(
         @JsonProperty("n") String node,
         @JsonProperty("r") long revision,
         @JsonProperty("d") long documentVersion,
+        @JsonProperty("h") boolean hasStore,
         @JsonProperty("l") List<Load> loads)
         implements Message {
     /** Replaces missing optional fields. */
