--- a/core/src/main/java/io/hornbeamscale/core/placement/WaitingRoom.java
+++ b/core/src/main/java/io/hornbeamscale/core/placement/WaitingRoom.java
@@ -24,7 +24,9 @@
     /** The share of its remaining time that a request may wait; the rest is needed for the response. */
     private static final double WAIT_SHARE = 0.4;
 
-    /** How many times its objective a request may wait; callers leave streams without an event after about four times. */
+    /**
+     * How many times its objective a request may wait; callers leave streams without an event after about four times.
+     */
     private static final double WAIT_OBJECTIVES = 2;
 
     private final List<Waiting<T>> waiting = new ArrayList<>();
--- a/gateway/src/main/java/io/hornbeamscale/gateway/CallerResponse.java
+++ b/gateway/src/main/java/io/hornbeamscale/gateway/CallerResponse.java
@@ -1,6 +1,7 @@
 package io.hornbeamscale.gateway;
 
 import io.undertow.server.HttpServerExchange;
+import io.undertow.util.Headers;
 import java.io.IOException;
 import java.nio.ByteBuffer;
 import java.util.ArrayDeque;
@@ -38,8 +39,14 @@
         pump();
     }
 
-    /** Sends the head of a response whose body follows. */
+    /**
+     * Sends the head of a response whose body follows. It is sent in chunks also when the connection ends with it, since
+     * a body that ends with its connection looks complete wherever it breaks off.
+     */
     void start() {
+        if (exchange.isHttp11()) {
+            exchange.getResponseHeaders().put(Headers.TRANSFER_ENCODING, "chunked");
+        }
         open();
         pump();
     }
