--- a/gateway/src/main/java/io/hornbeamscale/gateway/CallerResponse.java
+++ b/gateway/src/main/java/io/hornbeamscale/gateway/CallerResponse.java
@@ -40,7 +40,8 @@
     }
 
     /**
-     * Sends the head of a response whose body follows. It is sent in chunks also when the connection ends with it, since
+     * Sends the head of a response whose body follows. It is sent in chunks also when the connection ends with it,
+     * since
      * a body that ends with its connection looks complete wherever it breaks off.
      */
     void start() {
