Keep requests of the first moments until the document arrives

Requests wait up to 600 ms for the first document now; a node without one still answers 503 after that.

--- a/gateway/src/main/java/io/hornbeamscale/gateway/GatewayHandler.java
+++ b/gateway/src/main/java/io/hornbeamscale/gateway/GatewayHandler.java
@@ -15,6 +15,7 @@
 import io.undertow.util.SameThreadExecutor;
 import java.nio.ByteBuffer;
 import java.util.Optional;
+import java.util.concurrent.TimeUnit;
 import java.util.function.Supplier;
 
 /** Accepts callers' requests on the traffic thread: route, key, limits of size; then hands them to a relay. */
@@ -22,6 +23,11 @@
     private static final int HEADER_OVERHEAD_BYTES = 4;
     private static final long RETRY_AFTER_MILLIS = 500;
 
+    /** How long a request waits for the first document, in milliseconds; a second try elsewhere takes about as long. */
+    private static final long FIRST_DOCUMENT_MILLIS = 600;
+
+    private static final long DOCUMENT_CHECK_MILLIS = 20;
+
     private final Traffic traffic;
     private final Supplier<Optional<RouteDocument>> document;
     private final Stopping stopping;
@@ -43,12 +49,30 @@
         long now = ControlLoop.now();
         connections.began(exchange);
         CallerHead head = traffic.codec().decodeCaller(exchange.getRequestHeaders());
+        if (document.get().isPresent()) {
+            begin(exchange, head, document.get().get(), now);
+        } else {
+            exchange.dispatch(SameThreadExecutor.INSTANCE, () -> awaitDocument(exchange, head, now));
+        }
+    }
+
+    /** Keeps a request of the first moments of the process until the document arrives, which takes some 300 ms. */
+    private void awaitDocument(HttpServerExchange exchange, CallerHead head, long arrivedAtMillis) {
         Optional<RouteDocument> present = document.get();
-        if (present.isEmpty()) {
+        if (present.isPresent()) {
+            begin(exchange, head, present.get(), arrivedAtMillis);
+        } else if (ControlLoop.now() - arrivedAtMillis >= FIRST_DOCUMENT_MILLIS) {
             refuse(exchange, head, ErrorKind.STORE_UNAVAILABLE, RETRY_AFTER_MILLIS, "no document yet");
-            return;
+        } else {
+            traffic.thread()
+                    .executeAfter(
+                            () -> awaitDocument(exchange, head, arrivedAtMillis),
+                            DOCUMENT_CHECK_MILLIS,
+                            TimeUnit.MILLISECONDS);
         }
-        RouteDocument rules = present.get();
+    }
+
+    private void begin(HttpServerExchange exchange, CallerHead head, RouteDocument rules, long now) {
         Optional<Route> route = rules.route(exchange.getRequestHeaders().getFirst(Headers.HOST), path(exchange));
         if (route.isEmpty()) {
             refuse(exchange, head, ErrorKind.NOT_FOUND, -1, "no route, document " + rules.version());
