--- a/gateway/src/main/java/io/hornbeamscale/gateway/DecisionLog.java
+++ b/gateway/src/main/java/io/hornbeamscale/gateway/DecisionLog.java
@@ -9,14 +9,12 @@
 import org.apache.logging.log4j.message.StringMapMessage;
 
 /**
- * Writes one line for each decision that touches a request or changes what the process believes. The number of lines of
- * each kind in a second is bounded; what is left out is counted and said. Safe for use by several threads.
+ * The structured log of an entry: what happened to requests, and what the entry came to believe of servers, store and
+ * other entries. Each kind of line has a limit per second; the number of omitted lines is logged. Safe for use by
+ * several threads.
  */
 final class DecisionLog {
-    /**
-     * The lines of one kind in a second. A line costs about 50 microseconds of a core that is mostly needed
-     * elsewhere.
-     */
+    /** The greatest number of lines of one kind in a second; keeps the log bounded under load. */
     private static final int LINES_PER_SECOND = 40;
 
     private static final long SECOND_MILLIS = 1_000;
