Explain one request from the logs of the processes

Streams that wait for room, the pace of the server and the event before the longest pause are logged as well. Works on collected logs.

--- /dev/null
+++ b/core/src/test/java/io/hornbeamscale/core/placement/GenerationSizeTest.java
@@ -0,0 +1,31 @@
+package io.hornbeamscale.core.placement;
+
+import static org.junit.jupiter.api.Assertions.assertEquals;
+import static org.junit.jupiter.api.Assertions.assertThrows;
+import static org.junit.jupiter.api.Assertions.assertTrue;
+
+import org.junit.jupiter.api.Test;
+
+/** Guards against generations that count for less than they need, so that engines run out of memory. */
+class GenerationSizeTest {
+    private static final GenerationSize SIZE = new GenerationSize(3_000, 900);
+
+    @Test
+    void countsPromptAndResponse() {
+        assertEquals(3_900, SIZE.totalTokens());
+        assertEquals(new ServerLoad(1, 3_900, 3_000), SIZE.load());
+    }
+
+    @Test
+    void aStreamThatIsHandedOverNeedsItsMemoryAndLessThanItsPrompt() {
+        assertEquals(3_900, SIZE.handOverLoad().tokens());
+        assertTrue(SIZE.handOverLoad().prefillTokens() < SIZE.promptTokens());
+        assertTrue(SIZE.handOverLoad().prefillTokens() > 0);
+    }
+
+    @Test
+    void negativeSizesAreRefused() {
+        assertThrows(IllegalArgumentException.class, () -> new GenerationSize(-1, 0));
+        assertThrows(IllegalArgumentException.class, () -> new GenerationSize(0, -1));
+    }
+}
--- a/daemon/src/main/java/io/hornbeamscale/daemon/Main.java
+++ b/daemon/src/main/java/io/hornbeamscale/daemon/Main.java
@@ -3,6 +3,7 @@
 import com.beust.jcommander.JCommander;
 import com.beust.jcommander.ParameterException;
 import io.hornbeamscale.daemon.config.ConfigCommand;
+import io.hornbeamscale.daemon.explain.ExplainCommand;
 import io.hornbeamscale.measure.MeasureCommand;
 import java.util.Arrays;
 import java.util.LinkedHashMap;
@@ -23,6 +24,7 @@
               config   get, validate, compare, publish and roll back the document
               status   show the state of running processes
               demo     run two small deployments on this machine
+              explain  explain what happened to a request, from logs
               measure  run scheduling scenarios on a manual clock
 
             COMMAND --help shows the options of a command.
@@ -51,6 +53,9 @@
         if (args.length > 0 && args[0].equals("config")) {
             return ConfigCommand.run(Arrays.copyOfRange(args, 1, args.length), System.out, System.err);
         }
+        if (args.length > 0 && args[0].equals("explain")) {
+            return ExplainCommand.run(Arrays.copyOfRange(args, 1, args.length), System.out, System.err);
+        }
         if (args.length > 0 && args[0].equals("measure")) {
             return MeasureCommand.run(Arrays.copyOfRange(args, 1, args.length), System.out);
         }
--- /dev/null
+++ b/daemon/src/main/java/io/hornbeamscale/daemon/explain/package-info.java
@@ -0,0 +1,2 @@
+/** Explains one request afterwards, from the logs of the processes. */
+package io.hornbeamscale.daemon.explain;
--- a/gateway/src/main/java/io/hornbeamscale/gateway/DecisionLog.java
+++ b/gateway/src/main/java/io/hornbeamscale/gateway/DecisionLog.java
@@ -25,21 +25,39 @@
     private final Logger process = LogManager.getLogger("process");
     private final Map<String, Budget> budgets = new HashMap<>();
 
-    /** A request was sent to a server. */
-    void sent(
-            RelayRequest request, FleetServer server, int attempt, long remainingMillis, ServerLoad load, String copy) {
+    /** A request with a single response was sent to a server. */
+    void sent(RelayRequest request, FleetServer server, int attempt, long remainingMillis, ServerLoad load) {
         if (isAllowed("sent")) {
-            requests.info(line("sent", request)
-                    .with("server", server.id())
-                    .with("attempt", attempt)
-                    .with("remainingMillis", remainingMillis)
-                    .with("requestsThere", load.requests())
-                    .with("tokensThere", load.tokens())
-                    .with("prefillThere", load.prefillTokens())
+            requests.info(sentLine(request, server, attempt, remainingMillis, load));
+        }
+    }
+
+    /** A stream was sent to a server; the pace is the time of an event there in milliseconds, 0 if unknown. */
+    void streamSent(
+            RelayRequest request,
+            FleetServer server,
+            int attempt,
+            long remainingMillis,
+            ServerLoad load,
+            double pace,
+            String copy) {
+        if (isAllowed("sent")) {
+            requests.info(sentLine(request, server, attempt, remainingMillis, load)
+                    .with("paceThere", Math.round(pace))
                     .with("copy", copy));
         }
     }
 
+    /** No server has room for a stream; it waits at this entry behind the requests that are ahead of it. */
+    void waits(RelayRequest request, int servers, int ahead, long limitMillis) {
+        if (isAllowed("waits")) {
+            requests.info(line("waits", request)
+                    .with("servers", servers)
+                    .with("ahead", ahead)
+                    .with("limitMillis", limitMillis));
+        }
+    }
+
     /** A send ended without a response that counts, and the request goes on. */
     void repeated(RelayRequest request, FleetServer server, String why) {
         if (isAllowed("repeated")) {
@@ -128,6 +146,17 @@
         process.info(new Line().with("event", event).with("detail", detail));
     }
 
+    private static Line sentLine(
+            RelayRequest request, FleetServer server, int attempt, long remainingMillis, ServerLoad load) {
+        return line("sent", request)
+                .with("server", server.id())
+                .with("attempt", attempt)
+                .with("remainingMillis", remainingMillis)
+                .with("requestsThere", load.requests())
+                .with("tokensThere", load.tokens())
+                .with("prefillThere", load.prefillTokens());
+    }
+
     private static Line line(String event, RelayRequest request) {
         return new Line().with("event", event).with("request", request.id());
     }
--- a/gateway/src/main/java/io/hornbeamscale/gateway/PlainRelay.java
+++ b/gateway/src/main/java/io/hornbeamscale/gateway/PlainRelay.java
@@ -156,8 +156,7 @@
                             server,
                             offers,
                             remaining,
-                            traffic().loads().of(server.id(), nowMillis),
-                            "");
+                            traffic().loads().of(server.id(), nowMillis));
             exchange = traffic().client().send(server.record().address(), call, this, nowMillis);
         }
 
--- a/gateway/src/main/java/io/hornbeamscale/gateway/StreamLeg.java
+++ b/gateway/src/main/java/io/hornbeamscale/gateway/StreamLeg.java
@@ -13,7 +13,7 @@
 final class StreamLeg implements BackendExchange.Listener {
     private static final long CONNECT_MILLIS = 400;
     /** The events over which a server's pace is measured. */
-    private static final int PACE_EVENTS = 8;
+    private static final int PACE_EVENTS = 4;
 
     private static final int OK = 200;
     private static final int MISDIRECTED = 421;
@@ -56,7 +56,7 @@
         this.backup = backup;
         this.events = new EventSplitter(lastId);
         this.load = continuation.isPresent()
-                ? new ServerLoad(1, relay.size().totalTokens(), 0)
+                ? relay.size().handOverLoad()
                 : relay.size().load();
     }
 
@@ -84,12 +84,13 @@
                 false,
                 CONNECT_MILLIS);
         traffic.log()
-                .sent(
+                .streamSent(
                         request,
                         server,
                         continuation.isPresent() ? 2 : 1,
                         remaining,
                         traffic.loads().of(server.id(), nowMillis),
+                        traffic.pace().millis(server.id()),
                         backup.map(FleetServer::id).orElse(""));
         exchange = traffic.client().send(server.record().address(), call, this, nowMillis);
     }
--- a/gateway/src/main/java/io/hornbeamscale/gateway/StreamRelay.java
+++ b/gateway/src/main/java/io/hornbeamscale/gateway/StreamRelay.java
@@ -40,6 +40,7 @@
     private long firstEventMillis = -1;
     private long lastEventAtMillis;
     private long longestGapMillis;
+    private long longestGapBeforeId;
     private long lastId;
     private int handOvers;
 
@@ -252,7 +253,7 @@
     @Override
     String detail() {
         return "events to " + lastId + ", first after " + firstEventMillis + " ms, longest gap " + longestGapMillis
-                + " ms, hand-overs " + handOvers;
+                + " ms to event " + longestGapBeforeId + ", hand-overs " + handOvers;
     }
 
     private void handOverFailed(StreamLeg from, String why) {
@@ -315,7 +316,10 @@
             firstEventMillis = now - request().arrivedAtMillis();
             traffic().metrics().firstEvent(firstEventMillis);
         } else {
-            longestGapMillis = Math.max(longestGapMillis, now - lastEventAtMillis);
+            if (now - lastEventAtMillis > longestGapMillis) {
+                longestGapMillis = now - lastEventAtMillis;
+                longestGapBeforeId = lastId;
+            }
         }
         lastEventAtMillis = now;
     }
@@ -331,6 +335,7 @@
                 request().arrivedAtMillis(),
                 request().route().objectiveMillis(),
                 request().deadlineMillis());
+        int ahead = traffic().waiting().inOrder().size();
         Optional<Long> comeAgain =
                 traffic().waiting().offer(this, need, servers().size(), nowMillis);
         if (comeAgain.isPresent()) {
@@ -338,7 +343,9 @@
             return;
         }
         traffic().metrics().count("waited");
-        after(WaitingRoom.limitMillis(need, nowMillis), () -> {
+        long limit = WaitingRoom.limitMillis(need, nowMillis);
+        traffic().log().waits(request(), servers().size(), ahead, limit);
+        after(limit, () -> {
             if (leg == null) {
                 fail(ErrorKind.OVERLOADED, RETRY_AFTER_MILLIS, "no server had room in time");
             }
