--- a/core/src/main/java/io/hornbeamscale/core/placement/PaceBook.java
+++ b/core/src/main/java/io/hornbeamscale/core/placement/PaceBook.java
@@ -7,16 +7,13 @@
 
 /**
  * How fast engines make events when nothing disturbs them. Servers of one service differ in speed, and on a slow one a
- * busy moment stretches the pause between two events beyond what is on time. The estimate follows low values quickly
- * and
- * high ones slowly, since prompts of other requests and noisy neighbours only add time. Not safe for use by several
- * threads.
+ * busy moment stretches the pause between two events beyond what is on time. The estimate takes over low values at once
+ * and follows high ones slowly, since prompts of other requests and noisy neighbours only add time. Not safe for use by
+ * several threads.
  */
 public final class PaceBook {
-    /** The weight of a value below the estimate, and of one above it. */
-    private static final double DOWN = 0.3;
-
-    private static final double UP = 0.03;
+    /** The weight of a value above the estimate. */
+    private static final double UP = 0.01;
 
     private final Map<String, Double> millisPerEvent = new HashMap<>();
 
@@ -27,18 +24,18 @@
      * @param millis the time, in milliseconds
      */
     public void observe(String server, double millis) {
-        millisPerEvent.merge(server, millis, (known, value) -> known + (value < known ? DOWN : UP) * (value - known));
+        millisPerEvent.merge(server, millis, (known, value) -> value < known ? value : known + UP * (value - known));
     }
 
     /**
-     * Notes the estimate of another entry; it counts until this entry has one of its own.
+     * Notes the estimate of another entry; the lower one counts.
      *
      * @param server the id of the server, not null
      * @param millis the time of an event, in milliseconds, 0 if the other entry does not know
      */
     public void told(String server, double millis) {
         if (millis > 0) {
-            millisPerEvent.putIfAbsent(server, millis);
+            millisPerEvent.merge(server, millis, Math::min);
         }
     }
 
--- /dev/null
+++ b/gateway/src/test/java/io/hornbeamscale/gateway/StoreFollowerTest.java
@@ -0,0 +1,313 @@
+package io.hornbeamscale.gateway;
+
+import static org.junit.jupiter.api.Assertions.assertEquals;
+import static org.junit.jupiter.api.Assertions.assertFalse;
+import static org.junit.jupiter.api.Assertions.assertTrue;
+
+import io.hornbeamscale.core.fleet.Endpoint;
+import io.hornbeamscale.core.fleet.FleetController;
+import io.hornbeamscale.core.fleet.ServerRecord;
+import io.hornbeamscale.core.route.CallerLimits;
+import io.hornbeamscale.core.route.RouteDocument;
+import java.nio.charset.StandardCharsets;
+import java.util.ArrayDeque;
+import java.util.ArrayList;
+import java.util.Deque;
+import java.util.List;
+import java.util.Map;
+import java.util.Optional;
+import java.util.function.Consumer;
+import org.junit.jupiter.api.BeforeEach;
+import org.junit.jupiter.api.Nested;
+import org.junit.jupiter.api.Test;
+
+/** Guards against lost, repeated and reverted changes of the store, with a store whose replies the test decides. */
+class StoreFollowerTest {
+    private final ScriptedStore store = new ScriptedStore();
+    private final FleetController fleet = new FleetController();
+    private final List<Long> versions = new ArrayList<>();
+    private final List<Long> pauses = new ArrayList<>();
+    private final Deque<Runnable> later = new ArrayDeque<>();
+    private int changes;
+    private StoreFollower follower;
+
+    @BeforeEach
+    void start() {
+        follower = new StoreFollower(
+                store,
+                new TextSchema(),
+                fleet,
+                Runnable::run,
+                (millis, task) -> {
+                    pauses.add(millis);
+                    later.add(task);
+                },
+                new StoreFollower.Listener() {
+                    @Override
+                    public void document(RouteDocument document) {
+                        versions.add(document.version());
+                    }
+
+                    @Override
+                    public void entry(String name, Optional<byte[]> value) {}
+
+                    @Override
+                    public void changed() {
+                        changes++;
+                    }
+                },
+                new DecisionLog());
+        follower.start();
+    }
+
+    private static StoreItem item(String key, long revision, String value) {
+        return StoreItem.present(key, revision, value.getBytes(StandardCharsets.UTF_8));
+    }
+
+    private static StoreResult.Items items(boolean hasMore, long revision, StoreItem... items) {
+        return new StoreResult.Items(List.of(items), hasMore, revision);
+    }
+
+    /** Ends the time for which a registration still counts that vanished shortly after the store's return. */
+    private void endGrace() {
+        fleet.tick(ControlLoop.now() + 2 * FleetController.LAPSE_GRACE_MILLIS);
+    }
+
+    private boolean isListed(String server) {
+        return fleet.snapshot().ready("tales").stream().anyMatch(s -> s.id().equals(server));
+    }
+
+    @Nested
+    class Listing {
+        @Test
+        void readsPageAfterPageAndThenWatchesFromTheFirstOne() {
+            store.reply(items(true, 10, item("doc", 4, "7")));
+            assertEquals("list after doc", store.lastCall());
+            store.reply(items(false, 15, item("servers/a", 14, "tales")));
+            assertEquals("watch after 10", store.lastCall(), "changes between the pages must not be missed");
+            assertEquals(List.of(7L), versions);
+            assertTrue(isListed("a"));
+        }
+
+        @Test
+        void startsAgainWhenAPageIsRefused() {
+            store.reply(items(true, 10, item("doc", 4, "7")));
+            store.reply(new StoreResult.Unavailable("503"));
+            later.remove().run();
+            assertEquals("list after ", store.lastCall());
+        }
+
+        @Test
+        void removesWhatIsNoLongerThere() {
+            store.reply(items(false, 10, item("servers/a", 4, "tales"), item("servers/b", 5, "tales")));
+            store.reply(new StoreResult.HistoryLost());
+            assertEquals("list after ", store.lastCall());
+            store.reply(items(false, 30, item("servers/b", 5, "tales")));
+            endGrace();
+            assertFalse(isListed("a"));
+            assertTrue(isListed("b"));
+        }
+    }
+
+    @Nested
+    class Watching {
+        @BeforeEach
+        void list() {
+            store.reply(items(false, 10, item("doc", 4, "7"), item("servers/a", 5, "tales")));
+        }
+
+        @Test
+        void appliesChangesAndGoesOnBehindThem() {
+            store.reply(items(false, 12, item("doc", 12, "9")));
+            assertEquals(List.of(7L, 9L), versions);
+            assertEquals("watch after 12", store.lastCall());
+            assertEquals(12, follower.knownRevision());
+        }
+
+        @Test
+        void keepsTheDocumentWhenAnOlderVersionIsWrittenLater() {
+            store.reply(items(false, 12, item("doc", 12, "6")));
+            assertEquals(List.of(7L), versions);
+            assertEquals(7, follower.documentVersion());
+        }
+
+        @Test
+        void keepsTheDocumentWhenTheNewOneCannotBeRead() {
+            store.reply(items(false, 12, item("doc", 12, "broken")));
+            assertEquals(7, follower.documentVersion());
+        }
+
+        @Test
+        void ignoresARegistrationThatNamesNoServer() {
+            store.reply(items(false, 12, item("servers/x", 11, "broken")));
+            assertTrue(isListed("a"));
+            assertFalse(isListed("x"));
+        }
+
+        @Test
+        void waitsLongerWithEveryFailureAndShortlyAfterASuccess() {
+            for (int i = 0; i < 5; i++) {
+                store.reply(new StoreResult.Unavailable("no answer"));
+                later.remove().run();
+            }
+            assertEquals(List.of(50L, 100L, 200L, 400L, 400L), pauses);
+            assertTrue(follower.isAway());
+            store.reply(items(false, 12));
+            assertFalse(follower.isAway());
+            store.reply(new StoreResult.Unavailable("no answer"));
+            assertEquals(50L, pauses.get(pauses.size() - 1));
+        }
+
+        /** Without a change nothing is told, since telling wakes every waiting request. */
+        @Test
+        void tellsOnlyOfChanges() {
+            int before = changes;
+            store.reply(items(false, 10));
+            assertEquals(before, changes);
+        }
+    }
+
+    @Nested
+    class OtherEntries {
+        @BeforeEach
+        void list() {
+            store.reply(items(false, 10, item("doc", 4, "7"), item("servers/a", 5, "tales")));
+        }
+
+        @Test
+        void passOnChangesWhileTheStoreIsAway() {
+            store.reply(new StoreResult.Unavailable("no answer"));
+            follower.passedOn(List.of(item("doc", 20, "8"), StoreItem.removed("servers/a", 21)), 21, 0);
+            assertEquals(8, follower.documentVersion());
+            assertEquals(21, follower.knownRevision());
+        }
+
+        @Test
+        void cannotBringBackWhatTheStoreHasChangedSince() {
+            store.reply(items(false, 30, StoreItem.removed("servers/a", 30)));
+            follower.passedOn(List.of(item("servers/a", 5, "tales")), 9, 0);
+            endGrace();
+            assertFalse(isListed("a"));
+            assertEquals(30, follower.knownRevision());
+        }
+
+        @Test
+        void getTheChangesTheyLackWithRemovals() {
+            store.reply(items(false, 30, item("doc", 29, "8"), StoreItem.removed("servers/a", 30)));
+            StoreFollower.Passed passed = follower.changesAfter(10);
+            assertEquals(30, passed.revision());
+            assertEquals(2, passed.items().size());
+            assertTrue(passed.items().get(1).isRemoved());
+            assertTrue(follower.changesAfter(30).items().isEmpty());
+        }
+
+        /** A frame holds a megabyte; the rest follows with the next message, from the revision that is complete. */
+        @Test
+        void getLargeChangesInSeveralMessages() {
+            String large = "x".repeat(500_000);
+            store.reply(items(false, 33, item("a", 31, large), item("b", 32, large), item("c", 33, large)));
+            StoreFollower.Passed first = follower.changesAfter(10);
+            assertEquals(1, first.items().size());
+            assertEquals(31, first.revision());
+            assertEquals(32, follower.changesAfter(first.revision()).revision());
+        }
+    }
+
+    /** Remembers the last call and replies when the test says so. */
+    private static final class ScriptedStore implements MetadataStore {
+        private Consumer<StoreResult> waiting;
+        private String call = "";
+
+        String lastCall() {
+            return call;
+        }
+
+        void reply(StoreResult result) {
+            Consumer<StoreResult> done = waiting;
+            waiting = null;
+            done.accept(result);
+        }
+
+        @Override
+        public void list(String prefix, String afterKey, Consumer<StoreResult> done) {
+            call = "list after " + afterKey;
+            waiting = done;
+        }
+
+        @Override
+        public void watch(String prefix, long afterRevision, long waitMillis, Consumer<StoreResult> done) {
+            call = "watch after " + afterRevision;
+            waiting = done;
+        }
+
+        @Override
+        public void put(String key, byte[] value, long lease, Consumer<StoreResult> done) {
+            throw new UnsupportedOperationException();
+        }
+
+        @Override
+        public void compareAndPut(String key, long expectedRevision, byte[] value, Consumer<StoreResult> done) {
+            throw new UnsupportedOperationException();
+        }
+
+        @Override
+        public void lease(long ttlMillis, Consumer<StoreResult> done) {
+            throw new UnsupportedOperationException();
+        }
+
+        @Override
+        public void keep(long lease, Consumer<StoreResult> done) {
+            throw new UnsupportedOperationException();
+        }
+
+        @Override
+        public void end(long lease, Consumer<StoreResult> done) {
+            throw new UnsupportedOperationException();
+        }
+    }
+
+    /** A document is its version, a registration the name of its service. */
+    private static final class TextSchema implements StoreSchema {
+        @Override
+        public String operatorPrefix() {
+            return "doc";
+        }
+
+        @Override
+        public String documentKey() {
+            return "doc";
+        }
+
+        @Override
+        public String serverPrefix() {
+            return "servers/";
+        }
+
+        @Override
+        public String entryPrefix() {
+            return "entries/";
+        }
+
+        @Override
+        public String ownPrefix() {
+            return "own/";
+        }
+
+        @Override
+        public Optional<RouteDocument> decodeDocument(byte[] value) {
+            String text = new String(value, StandardCharsets.UTF_8);
+            return text.equals("broken")
+                    ? Optional.empty()
+                    : Optional.of(new RouteDocument(
+                            Long.parseLong(text), List.of(), List.of(), new CallerLimits(1, 1, 1, 1), Map.of(), false));
+        }
+
+        @Override
+        public Optional<ServerRecord> decodeServer(String id, byte[] value) {
+            String service = new String(value, StandardCharsets.UTF_8);
+            return service.equals("broken")
+                    ? Optional.empty()
+                    : Optional.of(new ServerRecord(id, 1, 1, service, new Endpoint("10.0.0.1", 80), "z1", 8, false, 0));
+        }
+    }
+}
