--- a/core/src/main/java/io/hornbeamscale/core/placement/GenerationPlacement.java
+++ b/core/src/main/java/io/hornbeamscale/core/placement/GenerationPlacement.java
@@ -64,9 +64,13 @@
      */
     private static final double SLOW_START_COST = 2_000;
 
-    /** The cost of a server that is twice as slow as the fastest, in milliseconds, for long and for short responses. */
-    private static final double LONG_PACE_COST = 600;
+    /**
+     * The cost of a server that is twice as slow as the fastest, in milliseconds, for a long response. A server that is
+     * 1.3 times as slow then costs as much as a full queue of prompts elsewhere.
+     */
+    private static final double LONG_PACE_COST = 3_000;
 
+    /** The same for a short response, which has few pauses. */
     private static final double SHORT_PACE_COST = 150;
 
     /** The range of the random cost that keeps several entries from choosing the same server, in milliseconds. */
--- a/gateway/src/main/java/io/hornbeamscale/gateway/StreamLeg.java
+++ b/gateway/src/main/java/io/hornbeamscale/gateway/StreamLeg.java
@@ -56,7 +56,7 @@
         this.backup = backup;
         this.events = new EventSplitter(lastId);
         this.load = continuation.isPresent()
-                ? relay.size().handOverLoad()
+                ? new ServerLoad(1, relay.size().totalTokens(), 0)
                 : relay.size().load();
     }
 
--- a/gateway/src/main/java/io/hornbeamscale/gateway/StreamMove.java
+++ b/gateway/src/main/java/io/hornbeamscale/gateway/StreamMove.java
@@ -78,7 +78,7 @@
             return;
         }
         target = chosen.get();
-        reserved = relay.size().handOverLoad();
+        reserved = new ServerLoad(1, relay.size().totalTokens(), 0);
         relay.traffic().placed(target.id(), reserved);
         boolean isSameZone =
                 target.record().zone().equals(source.server().record().zone());
