Ask targets again that had no room; keep copies near and short rests last

Change: refusals are forgotten when no target is left; a target's copy time counts for the streams that wait behind it; a stream that probably ends within a second lets the others go first (MoveOrder).

--- a/core/src/main/java/io/hornbeamscale/core/placement/GenerationPlacement.java
+++ b/core/src/main/java/io/hornbeamscale/core/placement/GenerationPlacement.java
@@ -38,6 +38,9 @@
     /** How much more the prompts that wait at a target cost a running stream, whose pause must stay short. */
     private static final double HAND_OVER_PREFILL = 2;
 
+    /** The share of a leaving server's requests whose copies wait behind this one on the server's link. */
+    private static final double BEHIND_SHARE = 0.5;
+
     /**
      * The prompt tokens that may wait at a server when another request is placed there; two prompts or so. More of them
      * wait at the entry, for whichever server is free first.
@@ -154,12 +157,14 @@
             Set<String> excluded,
             long nowMillis,
             RandomGenerator random) {
+        double behind = loads.of(source.id(), nowMillis).requests() * BEHIND_SHARE;
         return cheapest(servers, excluded, nowMillis, random, server -> {
             ServerLoad load = loads.of(server.id(), nowMillis);
             return load.requests() < engine.slots() && isSameRegion(server, source)
                     ? cost(server, load, source.record().zone())
                             + paceCost(server, servers, size)
                             + copyCost(server, source, engine, size, nowMillis)
+                            + behind * copyMillis(server, source, engine, size)
                             + overflowCost(load, engine, size)
                             + HAND_OVER_PREFILL * load.prefillTokens() / PREFILL_TOKENS_PER_MILLI
                     : Double.POSITIVE_INFINITY;
@@ -249,8 +254,12 @@
 
     private double copyCost(
             FleetServer server, FleetServer from, EngineSpec engine, GenerationSize size, long nowMillis) {
+        return links.busyMillis(server.id(), nowMillis) + copyMillis(server, from, engine, size);
+    }
+
+    private static double copyMillis(FleetServer server, FleetServer from, EngineSpec engine, GenerationSize size) {
         boolean isSameZone = server.record().zone().equals(from.record().zone());
-        return links.busyMillis(server.id(), nowMillis) + CopyLinks.copyMillis(engine, size.promptTokens(), isSameZone);
+        return CopyLinks.copyMillis(engine, size.promptTokens(), isSameZone);
     }
 
     private double cost(FleetServer server, ServerLoad load, String from) {
--- a/core/src/test/java/io/hornbeamscale/core/placement/GenerationPlacementTest.java
+++ b/core/src/test/java/io/hornbeamscale/core/placement/GenerationPlacementTest.java
@@ -137,6 +137,15 @@
             assertEquals(Optional.of("a"), choose(server("a", "z1"), server("b", "z2")));
         }
 
+        /** A copy to another zone takes twice as long, and all other streams of the server wait behind it. */
+        @Test
+        void isInTheSourcesZoneAlthoughBusierWhileManyStreamsWaitForTheLink() {
+            fill("a", 8, 20_000, 0);
+            assertEquals(Optional.of("b"), choose(server("a", "z1"), server("b", "z2")));
+            fill("s", 8, 24_000, 0);
+            assertEquals(Optional.of("a"), choose(server("a", "z1"), server("b", "z2")));
+        }
+
         @Test
         void isAServerWithoutEnoughMemoryRatherThanNone() {
             fill("a", 10, 45_000, 0);
--- a/gateway/src/main/java/io/hornbeamscale/gateway/StreamMove.java
+++ b/gateway/src/main/java/io/hornbeamscale/gateway/StreamMove.java
@@ -3,6 +3,7 @@
 import io.hornbeamscale.core.fleet.Endpoint;
 import io.hornbeamscale.core.fleet.FleetServer;
 import io.hornbeamscale.core.placement.CopyLinks;
+import io.hornbeamscale.core.placement.MoveOrder;
 import io.hornbeamscale.core.placement.ServerLoad;
 import java.nio.charset.StandardCharsets;
 import java.util.HashSet;
@@ -45,7 +46,13 @@
     }
 
     void begin(long nowMillis) {
-        chooseTarget(nowMillis);
+        long delay = MoveOrder.delayMillis(
+                relay.size(), source.lastId() * relay.engine().tokensPerEvent());
+        if (delay > 0) {
+            after(delay, this::chooseTarget);
+        } else {
+            chooseTarget(nowMillis);
+        }
     }
 
     /** Gives the move up and frees what was copied. */
@@ -74,6 +81,9 @@
                         nowMillis,
                         relay.traffic().random());
         if (chosen.isEmpty()) {
+            // A target that had no room may get some when a stream ends there.
+            refused.clear();
+            refused.add(source.server().id());
             again(this::chooseTarget);
             return;
         }
@@ -123,6 +133,10 @@
             abandon();
             return;
         }
+        after(AGAIN_MILLIS, step);
+    }
+
+    private void after(long millis, LongConsumer step) {
         relay.traffic()
                 .thread()
                 .executeAfter(
@@ -131,7 +145,7 @@
                                 step.accept(ControlLoop.now());
                             }
                         },
-                        AGAIN_MILLIS,
+                        millis,
                         TimeUnit.MILLISECONDS);
     }
 
