Refuse a waiting request that was found to crash servers

Cause, found by the first test of the quarantine in the gateway: the verdict was asked for when a request arrived only, so one that waited for room when the verdict came was sent to the next server and crashed it.

--- a/gateway/src/main/java/io/hornbeamscale/gateway/StreamRelay.java
+++ b/gateway/src/main/java/io/hornbeamscale/gateway/StreamRelay.java
@@ -86,6 +86,11 @@
             return true;
         }
         long now = ControlLoop.now();
+        if (traffic().crashes().isConvicted(request(), now)) {
+            // It was found while this request waited for room.
+            fail(ErrorKind.REQUEST_QUARANTINED, -1, "the request has crashed servers");
+            return true;
+        }
         List<FleetServer> servers = servers();
         Optional<FleetServer> chosen = traffic()
                 .generations()
