--- a/core/src/main/java/io/hornbeamscale/core/work/WorkItem.java
+++ b/core/src/main/java/io/hornbeamscale/core/work/WorkItem.java
@@ -51,54 +51,6 @@
         Arguments.notNull(model, "model");
     }
 
-    /**
-     * Creates work that any backend server of the service may run.
-     *
-     * @param request the request, not null
-     * @param service the service that is called, not null
-     * @param customer the calling customer, not null
-     * @param kind the kind of work that the document assigns a priority to, not null
-     * @param priority the priority of the kind; a greater number goes first
-     * @param promptTokens the number of prompt tokens, 0 for plain calls
-     * @param maxTokens the caller's limit of output tokens, 0 for plain calls
-     * @param prefixHashes hashes of growing prompt prefixes, shortest first, not null
-     * @param arrivedMillis when the request arrived
-     * @param deadlineMillis when waiting for a start becomes pointless
-     * @param isRepeatable whether the request may be executed more than once
-     * @param isPlain whether the request goes to a plain service
-     * @param isSuspect whether the request was in flight when an engine crashed
-     */
-    public WorkItem(
-            RequestId request,
-            ServiceId service,
-            CustomerId customer,
-            String kind,
-            int priority,
-            int promptTokens,
-            int maxTokens,
-            List<Long> prefixHashes,
-            long arrivedMillis,
-            long deadlineMillis,
-            boolean isRepeatable,
-            boolean isPlain,
-            boolean isSuspect) {
-        this(
-                request,
-                service,
-                customer,
-                kind,
-                priority,
-                promptTokens,
-                maxTokens,
-                prefixHashes,
-                arrivedMillis,
-                deadlineMillis,
-                isRepeatable,
-                isPlain,
-                isSuspect,
-                "");
-    }
-
     /**
      * Returns this work marked as a suspect.
      *
--- a/core/src/test/java/io/hornbeamscale/core/dispatch/DispatcherContract.java
+++ b/core/src/test/java/io/hornbeamscale/core/dispatch/DispatcherContract.java
@@ -68,7 +68,8 @@
                 1000,
                 isRepeatable,
                 false,
-                false);
+                false,
+                "");
     }
 
     private static <T> List<T> only(Class<T> type, List<DispatchAction> actions) {
--- a/core/src/test/java/io/hornbeamscale/core/estimate/LengthEstimatorTest.java
+++ b/core/src/test/java/io/hornbeamscale/core/estimate/LengthEstimatorTest.java
@@ -27,7 +27,8 @@
                 1_000,
                 true,
                 false,
-                false);
+                false,
+                "");
     }
 
     private static LengthEstimator learned() {
--- a/core/src/test/java/io/hornbeamscale/core/schedule/EngineSchedulerContract.java
+++ b/core/src/test/java/io/hornbeamscale/core/schedule/EngineSchedulerContract.java
@@ -46,7 +46,8 @@
                 DEADLINE,
                 true,
                 promptTokens == 0,
-                false);
+                false,
+                "");
         return new Reservation(attempt(number), new NodeId("e"), work);
     }
 
--- a/core/src/test/java/io/hornbeamscale/core/schedule/SchedulingOrderTest.java
+++ b/core/src/test/java/io/hornbeamscale/core/schedule/SchedulingOrderTest.java
@@ -43,7 +43,8 @@
                 arrived + 1_000_000,
                 true,
                 false,
-                false);
+                false,
+                "");
         return new Reservation(new AttemptId(work.request(), 1), new NodeId("e"), work);
     }
 
--- a/measure/src/main/java/io/hornbeamscale/measure/bench/RoutingBenchmark.java
+++ b/measure/src/main/java/io/hornbeamscale/measure/bench/RoutingBenchmark.java
@@ -112,7 +112,8 @@
                 number / 10 + 30_000L,
                 true,
                 false,
-                false);
+                false,
+                "");
     }
 
     /** The time of the scan for stragglers that a tick makes ten times per second. */
--- a/measure/src/main/java/io/hornbeamscale/measure/sim/Trace.java
+++ b/measure/src/main/java/io/hornbeamscale/measure/sim/Trace.java
@@ -142,7 +142,8 @@
                 arrival + (fixedTokens > 0 ? 120_000 : shape.patienceMillis()),
                 true,
                 false,
-                false);
+                false,
+                "");
         boolean isShort = shape.kind().equals("short");
         boolean isMeasured = atMicros >= Scenario.WARM_UP_SECONDS * MICROS;
         int entry = random.nextInt(scenario.entries().size());
