Take streams by their greatest length while the process stops

Change: a stopping process takes a stream only if its greatest length ends in time. The new test fails on the code before.

--- a/core/src/main/java/io/hornbeamscale/core/placement/MoveOrder.java
+++ b/core/src/main/java/io/hornbeamscale/core/placement/MoveOrder.java
@@ -11,7 +11,7 @@
 
     /**
      * How long a stream with a short rest waits, in milliseconds. Hints of the length are often wrong, so it is still
-     * copied afterwards, as long as one copy of some 200 ms fits into the notice.
+     * copied afterwards, while there is still time for a copy.
      */
     private static final long SHORT_REST_DELAY_MILLIS = 700;
 
--- a/core/src/main/java/io/hornbeamscale/core/placement/WaitingRoom.java
+++ b/core/src/main/java/io/hornbeamscale/core/placement/WaitingRoom.java
@@ -85,6 +85,15 @@
         return waiting.isEmpty();
     }
 
+    /**
+     * Returns how many requests wait.
+     *
+     * @return the number of requests
+     */
+    public int size() {
+        return waiting.size();
+    }
+
     /**
      * Returns the requests in the order in which they are to be placed.
      *
--- a/core/src/test/java/io/hornbeamscale/core/placement/WaitingRoomTest.java
+++ b/core/src/test/java/io/hornbeamscale/core/placement/WaitingRoomTest.java
@@ -43,8 +43,10 @@
         @Test
         void forgetsRemovedRequests() {
             room.offer("a", need(0, 0), 1, 0);
+            assertEquals(1, room.size());
             room.remove("a");
             assertTrue(room.isEmpty());
+            assertEquals(0, room.size());
         }
     }
 
--- a/gateway/src/main/java/io/hornbeamscale/gateway/RelayRequest.java
+++ b/gateway/src/main/java/io/hornbeamscale/gateway/RelayRequest.java
@@ -70,4 +70,9 @@
         long expected = head.hintedTokens() > 0 ? head.hintedTokens() : head.maxOutputTokens();
         return new GenerationSize(head.promptTokens(), expected > 0 ? expected : DEFAULT_TOKENS);
     }
+
+    /** Returns how many tokens the response may have at most, as far as the caller says. */
+    long maxTokens() {
+        return head.maxOutputTokens() > 0 ? head.maxOutputTokens() : size().expectedTokens();
+    }
 }
--- a/gateway/src/main/java/io/hornbeamscale/gateway/StopController.java
+++ b/gateway/src/main/java/io/hornbeamscale/gateway/StopController.java
@@ -2,8 +2,9 @@
 
 /**
  * Decides what a process takes that was asked to stop, and when it ends. A connection that was opened just before the
- * balancer noticed still gets its short requests answered; long streams that could not end in time are refused at once,
- * so that their callers go to another entry. Safe for use by several threads.
+ * balancer noticed still gets its short requests answered. Streams that might not end in time are refused at once, so
+ * that their callers go to another entry; their greatest length counts, since hints of the length are often too low.
+ * Safe for use by several threads.
  */
 final class StopController implements GatewayHandler.Stopping {
     /** How long before the kill the process ends by itself, in milliseconds. */
@@ -15,7 +16,7 @@
     /** How long a stopping process goes on to accept connections although nothing runs, in milliseconds. */
     private static final long QUIET_MILLIS = 3_500;
 
-    /** The time that one token of a stream takes, in milliseconds, as a bound on its length. */
+    /** The time that one token of a stream takes on a busy server, in milliseconds. */
     private static final double TOKEN_MILLIS = 12;
 
     private volatile long graceMillis;
@@ -44,11 +45,10 @@
             return false;
         }
         long left = stoppedAtMillis + graceMillis - END_MARGIN_MILLIS - request.arrivedAtMillis();
-        double expected = request.service().engine().isPresent()
-                ? request.size().expectedTokens() * TOKEN_MILLIS
-                        + request.route().objectiveMillis()
+        double longest = request.service().engine().isPresent()
+                ? request.maxTokens() * TOKEN_MILLIS + request.route().objectiveMillis()
                 : request.route().objectiveMillis();
-        return expected > left * TAKEN_SHARE;
+        return longest > left * TAKEN_SHARE;
     }
 
     /** Returns whether the process may end. */
--- a/gateway/src/main/java/io/hornbeamscale/gateway/StreamRelay.java
+++ b/gateway/src/main/java/io/hornbeamscale/gateway/StreamRelay.java
@@ -340,7 +340,7 @@
                 request().arrivedAtMillis(),
                 request().route().objectiveMillis(),
                 request().deadlineMillis());
-        int ahead = traffic().waiting().inOrder().size();
+        int ahead = traffic().waiting().size();
         Optional<Long> comeAgain =
                 traffic().waiting().offer(this, need, servers().size(), nowMillis);
         if (comeAgain.isPresent()) {
--- a/gateway/src/test/java/io/hornbeamscale/gateway/StopControllerTest.java
+++ b/gateway/src/test/java/io/hornbeamscale/gateway/StopControllerTest.java
@@ -22,10 +22,21 @@
     private final StopController stop = new StopController(GRACE_MILLIS);
 
     private static RelayRequest request(RequestKind kind, long tokens, long arrivedAtMillis) {
+        return request(kind, tokens, tokens, arrivedAtMillis);
+    }
+
+    private static RelayRequest request(RequestKind kind, long maxTokens, long hintedTokens, long arrivedAtMillis) {
         boolean isStream = kind == RequestKind.STREAMING;
         return new RelayRequest(
                 new CallerHead(
-                        Optional.of("r1"), Optional.empty(), 0, 300, tokens, tokens, List.of(), Optional.empty()),
+                        Optional.of("r1"),
+                        Optional.empty(),
+                        0,
+                        300,
+                        maxTokens,
+                        hintedTokens,
+                        List.of(),
+                        Optional.empty()),
                 new Route(
                         "r",
                         "shop.example",
@@ -74,6 +85,13 @@
             assertTrue(stop.isRefused(request(RequestKind.STREAMING, 944, 1_001)));
         }
 
+        /** A stream that was taken 3.6 s after the stop, by its hint, was cut off by the end of the process. */
+        @Test
+        void streamsAreRefusedThatMayBecomeLongerThanTheirHint() {
+            stop.stop(0);
+            assertTrue(stop.isRefused(request(RequestKind.STREAMING, 2_224, 100, 3_600)));
+        }
+
         @Test
         void nothingIsTakenThatTheGraceDoesNotCover() {
             stop.stop(1_000);
