--- a/core/src/main/java/io/hornbeamscale/core/fleet/FleetController.java
+++ b/core/src/main/java/io/hornbeamscale/core/fleet/FleetController.java
@@ -57,8 +57,7 @@
 
     /**
      * Handles the word of a server itself, or of another entry, that the server leaves. It counts for the server's
-     * present
-     * life; a later registration may revoke it.
+     * present life; a later registration may revoke it.
      *
      * @param id the id of the server, not null
      * @param startedAtMillis the start of the life that ends
--- a/gateway/src/main/java/io/hornbeamscale/gateway/CallerResponse.java
+++ b/gateway/src/main/java/io/hornbeamscale/gateway/CallerResponse.java
@@ -41,8 +41,7 @@
 
     /**
      * Sends the head of a response whose body follows. It is sent in chunks also when the connection ends with it,
-     * since
-     * a body that ends with its connection looks complete wherever it breaks off.
+     * because a body that ends with its connection looks complete wherever it breaks off.
      */
     void start() {
         if (exchange.isHttp11()) {
--- a/gateway/src/main/java/io/hornbeamscale/gateway/StreamMove.java
+++ b/gateway/src/main/java/io/hornbeamscale/gateway/StreamMove.java
@@ -15,9 +15,8 @@
 
 /**
  * Copies the state of a running stream from a server that leaves to another one, while the stream runs. When the copy
- * is
- * complete, the relay hands the stream over; the other server reads only what was made after the copy. All methods run
- * on the traffic thread.
+ * is complete, the relay hands the stream over; the other server reads only what was made after the copy. All methods
+ * run on the traffic thread.
  */
 final class StreamMove {
     /** How long one copy may take, in milliseconds; a full engine's memory takes about 2,000 over one link. */
--- a/gateway/src/main/java/io/hornbeamscale/gateway/StreamRelay.java
+++ b/gateway/src/main/java/io/hornbeamscale/gateway/StreamRelay.java
@@ -121,8 +121,7 @@
 
     /**
      * Lets another server go on with the stream from a copy of its state. The first server runs until the second one
-     * has
-     * begun, which its response tells, and is stopped then.
+     * has begun, which its response tells, and is stopped then.
      */
     void handOver(FleetServer to, Endpoint owner, String handle) {
         if (isEnded()) {
