Place generations by the memory in use

Change: entries count and report the memory that their requests use at present. Short responses need room now, long ones leave a tenth free and avoid regions whose servers could not take their streams over. The route's priority is sent to the engine, so that short prompts are processed first. Still lost: streams whose copies find no room, streams of entries that end.

--- a/core/src/main/java/io/hornbeamscale/core/placement/GenerationPlacement.java
+++ b/core/src/main/java/io/hornbeamscale/core/placement/GenerationPlacement.java
@@ -24,6 +24,21 @@
      */
     static final double MAX_MEMORY_SHARE = 1.2;
 
+    /**
+     * The share of an engine's memory in use up to which long responses are placed there. The rest is for short
+     * responses and for streams that move away from a leaving server.
+     */
+    static final double MAX_USED_SHARE_LONG = 0.9;
+
+    /** The same share for short responses, which free their memory before the others grow. */
+    static final double MAX_USED_SHARE_SHORT = 1.0;
+
+    /**
+     * The cost of memory that could not move anywhere if the server left, for memory of the size of one engine, in
+     * milliseconds.
+     */
+    private static final double STRANDED_COST_MILLIS = 2_000;
+
     /** The share of an engine's memory up to which backup copies of other servers' generations are placed there. */
     static final double MAX_BACKUP_MEMORY_SHARE = 0.4;
 
@@ -134,7 +149,9 @@
         return cheapest(servers, excluded, nowMillis, random, server -> {
             ServerLoad load = loads.of(server.id(), nowMillis);
             return hasRoom(load, engine, size)
-                    ? cost(server, load, zone) + slowdownCost(server, servers, size)
+                    ? cost(server, load, zone)
+                            + slowdownCost(server, servers, size)
+                            + strandedCost(server, servers, engine, size, nowMillis)
                     : Double.POSITIVE_INFINITY;
         });
     }
@@ -242,24 +259,58 @@
         if (load.requests() == 0) {
             return true;
         }
-        return load.requests() < engine.slots()
-                && load.prefillTokens() <= MAX_PREFILL_TOKENS
+        if (load.requests() >= engine.slots() || load.prefillTokens() > MAX_PREFILL_TOKENS) {
+            return false;
+        }
+        // All requests of a server grow at the same rate, so a short response ends before they have grown much.
+        long growth = Math.min(size.expectedTokens(), LONG_RESPONSE_TOKENS) * (load.requests() + 1L);
+        long used = load.usedTokens() + size.promptTokens() + growth;
+        if (!isLong(size)) {
+            return used <= MAX_USED_SHARE_SHORT * engine.memoryTokens();
+        }
+        return used <= MAX_USED_SHARE_LONG * engine.memoryTokens()
                 && load.tokens() + size.totalTokens() <= MAX_MEMORY_SHARE * engine.memoryTokens();
     }
 
+    private static boolean isLong(GenerationSize size) {
+        return size.expectedTokens() >= LONG_RESPONSE_TOKENS;
+    }
+
+    /**
+     * Returns the cost of the memory for which the other servers of the region have no room. Streams move only within a
+     * region, so they are lost with a server whose neighbors are full.
+     */
+    private double strandedCost(
+            FleetServer server,
+            Collection<FleetServer> servers,
+            EngineSpec engine,
+            GenerationSize size,
+            long nowMillis) {
+        if (!engine.canMove() || !isLong(size)) {
+            return 0;
+        }
+        long free = 0;
+        for (FleetServer other : servers) {
+            if (!other.id().equals(server.id()) && isSameRegion(server, other)) {
+                free += Math.max(
+                        0,
+                        engine.memoryTokens() - loads.of(other.id(), nowMillis).usedTokens());
+            }
+        }
+        long used = loads.of(server.id(), nowMillis).usedTokens() + size.totalTokens();
+        return (double) Math.max(0, used - free) / engine.memoryTokens() * STRANDED_COST_MILLIS;
+    }
+
     private double slowdownCost(FleetServer server, Collection<FleetServer> servers, GenerationSize size) {
         double excess = intervals.slowdownFactor(server.id(), servers) - 1;
-        return excess
-                * (size.expectedTokens() >= LONG_RESPONSE_TOKENS
-                        ? LONG_SLOWDOWN_COST_MILLIS
-                        : SHORT_SLOWDOWN_COST_MILLIS);
+        return excess * (isLong(size) ? LONG_SLOWDOWN_COST_MILLIS : SHORT_SLOWDOWN_COST_MILLIS);
     }
 
     /**
      * Returns the cost of missing memory. Such targets rank last but stay eligible, since a stream without one is lost.
      */
     private static double overflowCost(ServerLoad load, EngineSpec engine, GenerationSize size) {
-        double missing = load.tokens() + size.totalTokens() - MAX_MEMORY_SHARE * engine.memoryTokens();
+        double missing = load.usedTokens() + size.totalTokens() - engine.memoryTokens();
         return Math.max(0, missing) / engine.memoryTokens() * OVERFLOW_COST_MILLIS;
     }
 
--- a/core/src/main/java/io/hornbeamscale/core/placement/GenerationSize.java
+++ b/core/src/main/java/io/hornbeamscale/core/placement/GenerationSize.java
@@ -30,6 +30,16 @@
      * @return the load, never null
      */
     public ServerLoad load() {
-        return new ServerLoad(1, totalTokens(), promptTokens);
+        return new ServerLoad(1, totalTokens(), promptTokens, promptTokens);
+    }
+
+    /**
+     * Returns the load that the generation puts on a server while it runs.
+     *
+     * @param emittedTokens the number of response tokens emitted so far
+     * @return the load, never null
+     */
+    public ServerLoad loadAfter(long emittedTokens) {
+        return new ServerLoad(1, totalTokens(), 0, promptTokens + emittedTokens);
     }
 }
--- a/core/src/main/java/io/hornbeamscale/core/placement/LoadTracker.java
+++ b/core/src/main/java/io/hornbeamscale/core/placement/LoadTracker.java
@@ -36,14 +36,22 @@
      */
     public void remove(String server, ServerLoad load) {
         own.computeIfPresent(server, (id, present) -> {
-            ServerLoad rest = new ServerLoad(
-                    present.requests() - load.requests(),
-                    present.tokens() - load.tokens(),
-                    present.prefillTokens() - load.prefillTokens());
+            ServerLoad rest = present.minus(load);
             return rest.equals(ServerLoad.NONE) ? null : rest;
         });
     }
 
+    /**
+     * Replaces a load that was added before.
+     *
+     * @param server the id of the server, not null
+     * @param before the load to replace, not null
+     * @param after the new load, not null
+     */
+    public void replace(String server, ServerLoad before, ServerLoad after) {
+        own.computeIfPresent(server, (id, present) -> present.minus(before).plus(after));
+    }
+
     /**
      * Replaces the reported load of another entry.
      *
--- a/core/src/test/java/io/hornbeamscale/core/placement/GenerationPlacementTest.java
+++ b/core/src/test/java/io/hornbeamscale/core/placement/GenerationPlacementTest.java
@@ -117,6 +117,55 @@
         }
     }
 
+    @Nested
+    class MemoryInUse {
+        private void run(String server, int requests, long usedEach) {
+            long used = requests * usedEach;
+            loads.add(server, new ServerLoad(requests, requests * LONG.totalTokens(), 0, used));
+        }
+
+        /** Short responses waited for long ones whose memory was counted as full long before it was. */
+        @Test
+        void letsAShortResponseRunBesideLongOnesThatHaveNotGrownYet() {
+            run("a", 9, 3_100);
+            assertEquals("", choose(LONG, server("a", "z1")));
+            assertEquals("a", choose(SHORT, server("a", "z1")));
+        }
+
+        @Test
+        void refusesAShortResponseThatWouldInterruptAnother() {
+            run("a", 9, 3_600);
+            assertEquals("", choose(SHORT, server("a", "z1")));
+        }
+
+        /** Streams of a leaving server were lost because long responses had filled every other server. */
+        @Test
+        void leavesRoomForStreamsThatMoveAwayFromALeavingServer() {
+            run("a", 7, 3_900);
+            assertEquals("", choose(LONG, server("a", "z1")));
+        }
+
+        /** Streams do not move between regions, so a region with a single other server can save only one server's. */
+        @Test
+        void prefersARegionWhoseServersCouldTakeTheStreamsOver() {
+            run("near1", 5, 3_500);
+            run("near2", 5, 3_500);
+            run("far1", 5, 3_500);
+            run("far2", 5, 3_500);
+            run("far3", 5, 3_500);
+            run("far4", 5, 3_500);
+            assertTrue(choose(
+                            LONG,
+                            server("near1", "z1"),
+                            server("near2", "z1"),
+                            server("far1", "z3"),
+                            server("far2", "z3"),
+                            server("far3", "z3"),
+                            server("far4", "z3"))
+                    .startsWith("far"));
+        }
+    }
+
     @Nested
     class Destination {
         private final FleetServer source = server("s", "z1");
--- a/core/src/test/java/io/hornbeamscale/core/placement/GenerationSizeTest.java
+++ b/core/src/test/java/io/hornbeamscale/core/placement/GenerationSizeTest.java
@@ -12,7 +12,7 @@
     @Test
     void countsPromptAndResponse() {
         assertEquals(3_900, SIZE.totalTokens());
-        assertEquals(new ServerLoad(1, 3_900, 3_000), SIZE.load());
+        assertEquals(new ServerLoad(1, 3_900, 3_000, 3_000), SIZE.load());
     }
 
     @Test
--- a/core/src/test/java/io/hornbeamscale/core/placement/LoadTrackerTest.java
+++ b/core/src/test/java/io/hornbeamscale/core/placement/LoadTrackerTest.java
@@ -33,6 +33,24 @@
         }
     }
 
+    @Nested
+    class Progress {
+        @Test
+        void replacesTheLoadOfOneRequest() {
+            ServerLoad later = new ServerLoad(1, 30, 0, 25);
+            loads.add("a", LOAD);
+            loads.add("a", LOAD);
+            loads.replace("a", LOAD, later);
+            assertEquals(LOAD.plus(later), loads.of("a", 0));
+        }
+
+        @Test
+        void doesNotRestoreALoadThatWasRemoved() {
+            loads.replace("a", LOAD, new ServerLoad(1, 30, 0, 25));
+            assertEquals(ServerLoad.NONE, loads.of("a", 0));
+        }
+    }
+
     @Nested
     class Peers {
         @Test
--- a/gateway/src/main/java/io/hornbeamscale/gateway/Gateway.java
+++ b/gateway/src/main/java/io/hornbeamscale/gateway/Gateway.java
@@ -272,6 +272,7 @@
                     load.requests(),
                     load.tokens(),
                     load.prefillTokens(),
+                    load.usedTokens(),
                     Math.round(pace.getOrDefault(id, 0.0) * MICROS_PER_MILLI)));
         }
         peers.broadcast(
@@ -352,7 +353,9 @@
             long now = ControlLoop.now();
             Map<String, ServerLoad> loads = new HashMap<>();
             for (EntryStatusMessage.BackendLoad load : status.loads()) {
-                loads.put(load.server(), new ServerLoad(load.requests(), load.tokens(), load.prefillTokens()));
+                loads.put(
+                        load.server(),
+                        new ServerLoad(load.requests(), load.tokens(), load.prefillTokens(), load.usedTokens()));
             }
             thread.execute(() -> {
                 traffic.loads().peerReported(status.node(), loads, now);
--- a/gateway/src/main/java/io/hornbeamscale/gateway/RelayRequest.java
+++ b/gateway/src/main/java/io/hornbeamscale/gateway/RelayRequest.java
@@ -37,6 +37,9 @@
         long documentVersion,
         long arrivedAtMillis,
         long deadlineMillis) {
+    /** The least urgent priority that an engine distinguishes. */
+    private static final int LOWEST_ENGINE_PRIORITY = 9;
+
     /** The assumed length of a response if the headers do not tell, in tokens. */
     private static final long DEFAULT_TOKENS = 256;
 
@@ -68,6 +71,14 @@
         return own >= 0 ? own : route.priority();
     }
 
+    /**
+     * Returns the priority at the engine, 0 is the most urgent. Engines process the prompts of urgent requests first, so
+     * that a short response does not wait behind the prompts of long ones that were placed before it.
+     */
+    int enginePriority() {
+        return Math.max(0, Math.min(LOWEST_ENGINE_PRIORITY, priority()));
+    }
+
     /** Returns the expected size of the generation. The length hint takes precedence over the greatest length. */
     GenerationSize size() {
         long expected = head.hintedTokens() > 0 ? head.hintedTokens() : head.maxOutputTokens();
--- a/gateway/src/main/java/io/hornbeamscale/gateway/StreamAttempt.java
+++ b/gateway/src/main/java/io/hornbeamscale/gateway/StreamAttempt.java
@@ -57,7 +57,7 @@
         this.backup = backup;
         this.events = new EventSplitter(lastId);
         this.load = continuation.isPresent()
-                ? new ServerLoad(1, relay.size().totalTokens(), 0)
+                ? relay.size().loadAfter(lastId * relay.engine().tokensPerEvent())
                 : relay.size().load();
     }
 
@@ -73,7 +73,7 @@
                 server.id(),
                 request.customer().map(Customer::name),
                 remaining,
-                Optional.empty(),
+                Optional.of(request.enginePriority()),
                 continuation,
                 backup.map(b -> b.registration().address()));
         BackendClient.Request call = new BackendClient.Request(
@@ -240,6 +240,7 @@
         if (paceStartMillis == 0 || made >= PACE_EVENTS) {
             paceStartMillis = nowMillis;
             paceStartId = events.lastId();
+            updateLoad(relay.size().loadAfter(paceStartId * relay.engine().tokensPerEvent()));
         }
     }
 
@@ -249,13 +250,19 @@
 
     /** Removes the prompt from the load of the server, as the engine has read it. */
     private void prefillCompleted() {
-        if (load.prefillTokens() > 0 && !isEnded) {
-            relay.traffic().loads().remove(server.id(), new ServerLoad(0, 0, load.prefillTokens()));
-            load = new ServerLoad(load.requests(), load.tokens(), 0);
+        if (load.prefillTokens() > 0) {
+            updateLoad(relay.size().loadAfter(0));
             relay.traffic().placeWaiting();
         }
     }
 
+    private void updateLoad(ServerLoad changed) {
+        if (!isEnded) {
+            relay.traffic().loads().replace(server.id(), load, changed);
+            load = changed;
+        }
+    }
+
     private boolean end() {
         if (isEnded) {
             return false;
--- a/gateway/src/main/java/io/hornbeamscale/gateway/StreamMove.java
+++ b/gateway/src/main/java/io/hornbeamscale/gateway/StreamMove.java
@@ -90,7 +90,7 @@
             return;
         }
         target = chosen.get();
-        reserved = new ServerLoad(1, relay.size().totalTokens(), 0);
+        reserved = relay.size().loadAfter(source.lastId() * relay.engine().tokensPerEvent());
         relay.traffic().placed(target.id(), reserved);
         boolean isSameZone = target.registration()
                 .zone()
--- a/wire/src/main/java/io/hornbeamscale/wire/message/EntryStatusMessage.java
+++ b/wire/src/main/java/io/hornbeamscale/wire/message/EntryStatusMessage.java
@@ -33,6 +33,7 @@
      * @param requests the number of the entry's requests that run or wait at the server
      * @param tokens the engine memory that these requests need when they end, in tokens
      * @param prefillTokens the number of prompt tokens that are not processed yet
+     * @param usedTokens the engine memory that these requests use at present, in tokens
      * @param eventMicros the entry's estimate of the time per event of a stream without other load, in microseconds, 0
      *     if unknown
      */
@@ -41,6 +42,7 @@
             @JsonProperty("c") int requests,
             @JsonProperty("m") long tokens,
             @JsonProperty("p") long prefillTokens,
+            @JsonProperty("u") long usedTokens,
             @JsonProperty("e") long eventMicros) {
         /** Replaces a missing server id by an empty one. */
         public BackendLoad {
