--- a/gateway/src/main/java/io/hornbeamscale/gateway/Gateway.java
+++ b/gateway/src/main/java/io/hornbeamscale/gateway/Gateway.java
@@ -6,6 +6,7 @@
 import io.hornbeamscale.core.fleet.FleetController;
 import io.hornbeamscale.core.fleet.FleetServer;
 import io.hornbeamscale.core.fleet.FleetSnapshot;
+import io.hornbeamscale.core.fleet.StoreWatchController;
 import io.hornbeamscale.core.placement.ServerLoad;
 import io.hornbeamscale.core.quarantine.QuarantineController;
 import io.hornbeamscale.core.quarantine.QuarantineUpdate;
@@ -73,6 +74,9 @@
      */
     private static final long STORE_SILENCE_MILLIS = 400;
 
+    /** The relative change of the estimated time per event from which on it is sent to the other entries again. */
+    private static final double MIN_PACE_CHANGE = 0.05;
+
     private static final long SWEEP_INTERVAL_MILLIS = 1_000;
     private static final double MICROS_PER_MILLI = 1_000;
 
@@ -90,11 +94,13 @@
     private final LeavingServerPoller leavingServers;
     private final ControlLoop control;
     private final StoreFollower follower;
+    private final StoreWatchController watches;
     private final PeerConnections peers;
     private final EntryRegistration registration;
     private final StopController stopController;
     private final GatewayHandler handler;
     private final GatewayServer server;
+    private final Map<String, Long> sentEventMicros = new HashMap<>();
     private long nextStatusMillis;
     private long storeLagSinceMillis;
     private long peerStoreSeenMillis;
@@ -122,6 +128,7 @@
         traffic = new TrafficState(thread, blackboard, codec, client, settings, metrics, log, random);
         traffic.setStatusSender(this::collectStatus);
         control = new ControlLoop("gateway", TICK_MILLIS, this::tick);
+        watches = new StoreWatchController(settings.node());
         MetadataStore store = stores.create(settings.storeAddress(), new BackendClient(thread, buffers), thread);
         follower =
                 new StoreFollower(store, schema, fleet, control::execute, this::executeLater, new StoreListener(), log);
@@ -223,6 +230,7 @@
         long now = ControlLoop.now();
         fleet.tick(now);
         follower.tick(now);
+        follower.setWatching(watches.isWatching(now));
         publishFleet();
         boolean isStoreSilent = follower.isStoreLost() && now - peerStoreSeenMillis > STORE_SILENCE_MILLIS;
         thread.execute(() -> leavingServers.setActive(isStoreSilent));
@@ -267,24 +275,37 @@
         List<EntryStatusMessage.BackendLoad> loads = new ArrayList<>();
         for (String id : servers) {
             ServerLoad load = own.getOrDefault(id, ServerLoad.NONE);
+            long eventMicros = Math.round(pace.getOrDefault(id, 0.0) * MICROS_PER_MILLI);
+            boolean isPaceNew = Math.abs(eventMicros - sentEventMicros.getOrDefault(id, 0L))
+                    > MIN_PACE_CHANGE * sentEventMicros.getOrDefault(id, 0L);
+            if (load.equals(ServerLoad.NONE) && !isPaceNew) {
+                continue;
+            }
+            if (isPaceNew) {
+                sentEventMicros.put(id, eventMicros);
+            }
             loads.add(new EntryStatusMessage.BackendLoad(
-                    id,
-                    load.requests(),
-                    load.tokens(),
-                    load.prefillTokens(),
-                    load.usedTokens(),
-                    Math.round(pace.getOrDefault(id, 0.0) * MICROS_PER_MILLI)));
+                    id, load.requests(), load.tokens(), load.prefillTokens(), load.usedTokens(), eventMicros));
         }
+        sentEventMicros.keySet().retainAll(pace.keySet());
         peers.broadcast(
                 new EntryStatusMessage(
                         settings.node(),
                         follower.knownRevision(),
                         follower.documentVersion(),
                         !follower.isStoreLost(),
+                        follower.hasWorkingWatch(),
                         loads),
                 now);
     }
 
+    private static List<StoreItemsMessage.Item> encode(List<StoreItem> items) {
+        return items.stream()
+                .map(i -> new StoreItemsMessage.Item(
+                        i.key(), i.revision(), i.isRemoved() ? null : ByteBuffer.wrap(i.value())))
+                .toList();
+    }
+
     private static byte[] bytes(ByteBuffer buffer) {
         byte[] bytes = new byte[buffer.remaining()];
         buffer.duplicate().get(bytes);
@@ -345,6 +366,12 @@
         public void changesApplied() {
             publishFleet();
         }
+
+        @Override
+        public void changesWatched(long afterRevision, StoreFollower.ChangeBatch batch) {
+            peers.broadcast(
+                    new StoreItemsMessage(afterRevision, batch.revision(), encode(batch.items())), ControlLoop.now());
+        }
     }
 
     private final class PeerListener implements PeerConnections.Listener {
@@ -363,7 +390,8 @@
                 status.loads()
                         .forEach(l -> traffic.pace().peerReported(l.server(), l.eventMicros() / MICROS_PER_MILLI));
             });
-            if (status.isStoreReachable()) {
+            watches.statusReceived(status.node(), status.isWatching(), now);
+            if (status.isStoreReachable() && status.isWatching()) {
                 peerStoreSeenMillis = now;
             }
             if (status.revision() <= follower.knownRevision()) {
@@ -401,11 +429,8 @@
         @Override
         public StoreItemsMessage itemsRequested(StoreItemsRequestMessage request) {
             StoreFollower.ChangeBatch batch = follower.changesAfter(request.afterRevision());
-            List<StoreItemsMessage.Item> items = batch.items().stream()
-                    .map(i -> new StoreItemsMessage.Item(
-                            i.key(), i.revision(), i.isRemoved() ? null : ByteBuffer.wrap(i.value())))
-                    .toList();
-            return new StoreItemsMessage(batch.revision(), items);
+            List<StoreItemsMessage.Item> items = encode(batch.items());
+            return new StoreItemsMessage(request.afterRevision(), batch.revision(), items);
         }
 
         @Override
@@ -415,7 +440,7 @@
                             ? StoreItem.removed(i.key(), i.revision())
                             : StoreItem.present(i.key(), i.revision(), bytes(i.value())))
                     .toList();
-            follower.applyFromPeer(received, items.revision(), ControlLoop.now());
+            follower.applyFromPeer(received, items.afterRevision(), items.revision(), ControlLoop.now());
         }
     }
 }
--- a/gateway/src/main/java/io/hornbeamscale/gateway/RelayRequest.java
+++ b/gateway/src/main/java/io/hornbeamscale/gateway/RelayRequest.java
@@ -72,8 +72,8 @@
     }
 
     /**
-     * Returns the priority at the engine, 0 is the most urgent. Engines process the prompts of urgent requests first, so
-     * that a short response does not wait behind the prompts of long ones that were placed before it.
+     * Returns the priority at the engine, 0 is the most urgent. Engines process the prompts of urgent requests first,
+     * so that a short response does not wait behind the prompts of long ones that were placed before it.
      */
     int enginePriority() {
         return Math.max(0, Math.min(LOWEST_ENGINE_PRIORITY, priority()));
--- a/gateway/src/main/java/io/hornbeamscale/gateway/StoreFollower.java
+++ b/gateway/src/main/java/io/hornbeamscale/gateway/StoreFollower.java
@@ -56,6 +56,8 @@
     private long knownRevision;
     private long pauseMillis = MIN_RETRY_PAUSE_MILLIS;
     private boolean isStoreLost = true;
+    private boolean isWatching = true;
+    private boolean isCalling = true;
 
     /**
      * Creates a follower that is not started.
@@ -118,15 +120,44 @@
         return new ChangeBatch(knownRevision, changed);
     }
 
-    /** Applies items received from another entry. */
-    void applyFromPeer(List<StoreItem> received, long revision, long nowMillis) {
+    /**
+     * Applies items received from another entry.
+     *
+     * @param afterRevision the revision after which the items contain all changes
+     * @param revision the revision up to which the items contain all changes
+     */
+    void applyFromPeer(List<StoreItem> received, long afterRevision, long revision, long nowMillis) {
         for (StoreItem item : received) {
             apply(item, "another entry", nowMillis);
         }
-        knownRevision = Math.max(knownRevision, revision);
+        if (knownRevision >= afterRevision) {
+            knownRevision = Math.max(knownRevision, revision);
+        }
         listener.changesApplied();
     }
 
+    /**
+     * Starts or stops watching the store. An entry that does not watch learns changes from other entries only, so it
+     * treats the store as unavailable until its own first call after a start succeeds.
+     */
+    void setWatching(boolean isEnabled) {
+        if (isWatching == isEnabled) {
+            return;
+        }
+        isWatching = isEnabled;
+        log.storeEvent(isEnabled ? "watch_started" : "watch_stopped", "revision " + knownRevision);
+        if (isEnabled && !isCalling) {
+            fleet.storeLost();
+            watchRevision = Math.max(watchRevision, knownRevision);
+            watch();
+        }
+    }
+
+    /** Returns whether this entry watches the store itself and its last call succeeded. */
+    boolean hasWorkingWatch() {
+        return isWatching && isCalling && !isStoreLost;
+    }
+
     void tick(long nowMillis) {
         removedAt.entrySet().removeIf(e -> {
             boolean isExpired = nowMillis - e.getValue() > REMOVED_RETENTION_MILLIS;
@@ -173,6 +204,10 @@
     }
 
     private void watch() {
+        isCalling = isWatching;
+        if (!isWatching) {
+            return;
+        }
         store.watch("", watchRevision, WATCH_WAIT_MILLIS, result -> control.accept(() -> watched(result)));
     }
 
@@ -188,14 +223,21 @@
             return;
         }
         storeAnswered(now);
+        List<StoreItem> news = new ArrayList<>();
         for (StoreItem item : changes.items()) {
-            apply(item, "the store", now);
+            if (apply(item, "the store", now)) {
+                news.add(item);
+            }
         }
+        long before = watchRevision;
         watchRevision = Math.max(watchRevision, changes.revision());
         knownRevision = Math.max(knownRevision, watchRevision);
         if (!changes.items().isEmpty()) {
             listener.changesApplied();
         }
+        if (!news.isEmpty()) {
+            listener.changesWatched(before, new ChangeBatch(watchRevision, news));
+        }
         watch();
     }
 
@@ -218,10 +260,11 @@
         pauseMillis = Math.min(MAX_RETRY_PAUSE_MILLIS, pauseMillis * 2);
     }
 
-    private void apply(StoreItem item, String source, long nowMillis) {
+    /** Returns whether the item was not known. */
+    private boolean apply(StoreItem item, String source, long nowMillis) {
         StoreItem known = items.get(item.key());
         if (known != null && known.revision() >= item.revision()) {
-            return;
+            return false;
         }
         items.put(item.key(), item);
         if (item.isRemoved()) {
@@ -237,6 +280,7 @@
         } else if (key.startsWith(schema.entryPrefix())) {
             listener.entryChanged(key.substring(schema.entryPrefix().length()), Optional.ofNullable(item.value()));
         }
+        return true;
     }
 
     private void applyDocument(StoreItem item, String source) {
@@ -290,5 +334,12 @@
 
         /** Handles the end of a batch of changes. */
         void changesApplied();
+
+        /**
+         * Handles changes that the store's watch delivered and that no other entry had passed on before.
+         *
+         * @param afterRevision the revision after which the batch contains all changes not passed on before
+         */
+        void changesWatched(long afterRevision, ChangeBatch batch);
     }
 }
--- a/gateway/src/test/java/io/hornbeamscale/gateway/StoreFollowerTest.java
+++ b/gateway/src/test/java/io/hornbeamscale/gateway/StoreFollowerTest.java
@@ -28,6 +28,7 @@
     private final List<Long> versions = new ArrayList<>();
     private final List<Long> pauses = new ArrayList<>();
     private final Deque<Runnable> delayedTasks = new ArrayDeque<>();
+    private final List<String> passedOn = new ArrayList<>();
     private int changes;
     private StoreFollower follower;
 
@@ -55,6 +56,12 @@
                     public void changesApplied() {
                         changes++;
                     }
+
+                    @Override
+                    public void changesWatched(long afterRevision, StoreFollower.ChangeBatch batch) {
+                        passedOn.add(afterRevision + " to " + batch.revision() + ": "
+                                + batch.items().size());
+                    }
                 },
                 new DecisionLog());
         follower.start();
@@ -170,6 +177,51 @@
         }
     }
 
+    @Nested
+    class WithoutAWatch {
+        @BeforeEach
+        void list() {
+            store.reply(items(false, 10, item("doc", 4, "7"), item("servers/a", 5, "tales")));
+            follower.setWatching(false);
+        }
+
+        @Test
+        void noCallFollowsTheOneInProgress() {
+            assertFalse(follower.hasWorkingWatch());
+            store.reply(items(false, 12, item("doc", 12, "8")));
+            assertEquals(List.of(7L, 8L), versions);
+            assertFalse(store.hasPendingCall());
+        }
+
+        @Test
+        void theNextWatchStartsFromWhatOtherEntriesToldOf() {
+            store.reply(items(false, 10));
+            follower.applyFromPeer(List.of(item("doc", 20, "8")), 10, 20, 0);
+            follower.setWatching(true);
+            assertEquals("watch after 20", store.lastCall());
+            assertTrue(follower.hasWorkingWatch());
+        }
+
+        @Test
+        void theCallInProgressContinuesAsTheNextWatch() {
+            follower.setWatching(true);
+            store.reply(items(false, 12));
+            assertEquals("watch after 12", store.lastCall());
+        }
+
+        /** A registration that disappeared while the store was away may belong to a server that lives. */
+        @Test
+        void aRemovalRightAfterTheNextStartIsNotTrustedAtOnce() {
+            store.reply(items(false, 10));
+            follower.setWatching(true);
+            store.reply(items(false, 12, StoreItem.removed("servers/a", 12)));
+            fleet.tick(ControlLoop.now());
+            assertTrue(isListed("a"));
+            passLapseGracePeriod();
+            assertFalse(isListed("a"));
+        }
+    }
+
     @Nested
     class OtherEntries {
         @BeforeEach
@@ -180,7 +232,7 @@
         @Test
         void supplyChangesWhileTheStoreIsUnavailable() {
             store.reply(new StoreResult.Unavailable("no answer"));
-            follower.applyFromPeer(List.of(item("doc", 20, "8"), StoreItem.removed("servers/a", 21)), 21, 0);
+            follower.applyFromPeer(List.of(item("doc", 20, "8"), StoreItem.removed("servers/a", 21)), 10, 21, 0);
             assertEquals(8, follower.documentVersion());
             assertEquals(21, follower.knownRevision());
         }
@@ -188,12 +240,28 @@
         @Test
         void cannotRevertNewerChanges() {
             store.reply(items(false, 30, StoreItem.removed("servers/a", 30)));
-            follower.applyFromPeer(List.of(item("servers/a", 5, "tales")), 9, 0);
+            follower.applyFromPeer(List.of(item("servers/a", 5, "tales")), 0, 9, 0);
             passLapseGracePeriod();
             assertFalse(isListed("a"));
             assertEquals(30, follower.knownRevision());
         }
 
+        /** Otherwise the entry would never ask for the changes between, such as a server that leaves. */
+        @Test
+        void doNotHideAGapBeforeTheirChanges() {
+            follower.applyFromPeer(List.of(item("doc", 20, "8")), 15, 20, 0);
+            assertEquals(8, follower.documentVersion());
+            assertEquals(10, follower.knownRevision());
+        }
+
+        @Test
+        void areToldOnceOfWatchedChanges() {
+            store.reply(items(false, 12, item("doc", 12, "8")));
+            follower.applyFromPeer(List.of(item("doc", 13, "9")), 12, 13, 0);
+            store.reply(items(false, 13, item("doc", 13, "9")));
+            assertEquals(List.of("10 to 12: 1"), passedOn);
+        }
+
         @Test
         void receiveMissingChangesAndRemovals() {
             store.reply(items(false, 30, item("doc", 29, "8"), StoreItem.removed("servers/a", 30)));
@@ -228,6 +296,10 @@
             return call;
         }
 
+        boolean hasPendingCall() {
+            return pending != null;
+        }
+
         void reply(StoreResult result) {
             Consumer<StoreResult> done = pending;
             pending = null;
--- a/wire/src/main/java/io/hornbeamscale/wire/message/EntryStatusMessage.java
+++ b/wire/src/main/java/io/hornbeamscale/wire/message/EntryStatusMessage.java
@@ -10,14 +10,16 @@
  * @param revision the revision of the store up to which the entry knows all changes
  * @param documentVersion the version of the configuration document in force at the entry, 0 if there is none
  * @param isStoreReachable whether the last call of the entry to the store succeeded
- * @param loads what the entry knows of each backend server to which it sends requests or whose speed it knows; null
- *     becomes empty
+ * @param isWatching whether the entry watches the store itself and passes changes on
+ * @param loads the load of each backend server that runs requests of the entry, and the speed of servers whose estimate
+ *     has changed; null becomes empty
  */
 public record EntryStatusMessage(
         @JsonProperty("n") String node,
         @JsonProperty("r") long revision,
         @JsonProperty("d") long documentVersion,
         @JsonProperty("h") boolean isStoreReachable,
+        @JsonProperty("w") boolean isWatching,
         @JsonProperty("l") List<BackendLoad> loads)
         implements Message {
     /** Replaces missing optional fields. */
--- a/wire/src/main/java/io/hornbeamscale/wire/message/StoreItemsMessage.java
+++ b/wire/src/main/java/io/hornbeamscale/wire/message/StoreItemsMessage.java
@@ -7,11 +7,15 @@
 /**
  * Carries items of the store from one entry to another.
  *
- * @param revision the revision up to which the receiver knows all changes once it has these items
+ * @param afterRevision the revision after which the items contain all changes; a receiver that does not know all
+ *     changes up to it still misses some
+ * @param revision the revision up to which the items contain all changes
  * @param items the items; null means none
  */
 public record StoreItemsMessage(
-        @JsonProperty("r") long revision, @JsonProperty("i") List<Item> items) implements Message {
+        @JsonProperty("a") long afterRevision,
+        @JsonProperty("r") long revision,
+        @JsonProperty("i") List<Item> items) implements Message {
     /** Replaces missing optional fields. */
     public StoreItemsMessage {
         items = items == null ? List.of() : List.copyOf(items);
