Bound the responses that are read into memory

Cause: bytes without end from a faulty server were taken until the deadline: 17 to 422 MB in EndlessResponseTest, by a process with 96 MB of heap; an event without an end was never cut off. Change: limits for plain responses, error responses, single events and calls to the store and to engines. A stack overflow in an event of the control thread costs that event only. Result: EndlessResponseTest failed 8 of 12 cases before; its body and event cases pass.

--- a/gateway/src/main/java/io/hornbeamscale/gateway/BufferedCall.java
+++ b/gateway/src/main/java/io/hornbeamscale/gateway/BufferedCall.java
@@ -3,7 +3,6 @@
 import io.hornbeamscale.core.fleet.Endpoint;
 import io.undertow.util.HeaderMap;
 import io.undertow.util.Headers;
-import java.io.ByteArrayOutputStream;
 import java.nio.ByteBuffer;
 import java.util.concurrent.TimeUnit;
 import org.xnio.XnioExecutor;
@@ -16,6 +15,9 @@
 
     private static final long CONNECT_TIMEOUT_MILLIS = 400;
 
+    /** The maximum size of a response, in bytes. A page of the store has about a megabyte before its encoding. */
+    private static final int MAX_RESPONSE_BYTES = 4_000_000;
+
     private BufferedCall() {}
 
     /**
@@ -67,7 +69,8 @@
 
     private static final class ResponseReader implements BackendExchange.Listener {
         private final Callback callback;
-        private final ByteArrayOutputStream body = new ByteArrayOutputStream();
+        private final ResponseBody body = new ResponseBody(MAX_RESPONSE_BYTES);
+        private BackendExchange exchange;
         private XnioExecutor.Key timer;
         private int status;
         private boolean isEnded;
@@ -80,6 +83,7 @@
             if (isEnded) {
                 return;
             }
+            this.exchange = exchange;
             timer = thread.executeAfter(
                     () -> {
                         exchange.cancel();
@@ -96,9 +100,12 @@
 
         @Override
         public void received(ByteBuffer bytes) {
-            byte[] copy = new byte[bytes.remaining()];
-            bytes.get(copy);
-            body.writeBytes(copy);
+            if (!body.add(bytes)) {
+                if (exchange != null) {
+                    exchange.cancel();
+                }
+                end(NO_RESPONSE);
+            }
         }
 
         @Override
--- a/gateway/src/main/java/io/hornbeamscale/gateway/ControlLoop.java
+++ b/gateway/src/main/java/io/hornbeamscale/gateway/ControlLoop.java
@@ -111,7 +111,7 @@
                 }
             } catch (InterruptedException e) {
                 return;
-            } catch (RuntimeException e) {
+            } catch (RuntimeException | StackOverflowError e) {
                 log.error("An event failed; the process continues.", e);
             }
         }
--- a/gateway/src/main/java/io/hornbeamscale/gateway/EventSplitter.java
+++ b/gateway/src/main/java/io/hornbeamscale/gateway/EventSplitter.java
@@ -1,5 +1,6 @@
 package io.hornbeamscale.gateway;
 
+import java.io.ByteArrayOutputStream;
 import java.nio.ByteBuffer;
 import java.nio.charset.StandardCharsets;
 import java.util.Arrays;
@@ -44,8 +45,7 @@
         }
         bytes.get(pending, size, count);
         size += count;
-        byte[] complete = new byte[size];
-        int completeBytes = 0;
+        ByteArrayOutputStream complete = new ByteArrayOutputStream();
         int eventStart = 0;
         for (int i = scanned; i < size; i++) {
             if (pending[i] != '\n') {
@@ -57,8 +57,7 @@
             }
             if (length == 0) {
                 if (isWanted()) {
-                    System.arraycopy(pending, eventStart, complete, completeBytes, i + 1 - eventStart);
-                    completeBytes += i + 1 - eventStart;
+                    complete.write(pending, eventStart, i + 1 - eventStart);
                 }
                 eventStart = i + 1;
             } else if (startsWithId(lineStart, length)) {
@@ -69,7 +68,7 @@
         System.arraycopy(pending, eventStart, pending, 0, size - eventStart);
         size -= eventStart;
         lineStart -= eventStart;
-        return Arrays.copyOf(complete, completeBytes);
+        return complete.toByteArray();
     }
 
     /** Drops the events up to an id, which the caller has from another server. */
@@ -77,6 +76,11 @@
         lastId = Math.max(lastId, id);
     }
 
+    /** Returns the size of the partial event that is held back, in bytes. */
+    int pendingBytes() {
+        return size;
+    }
+
     /** Returns whether a partial event is held back. */
     boolean hasPartialEvent() {
         return size > 0;
--- a/gateway/src/main/java/io/hornbeamscale/gateway/PlainRelay.java
+++ b/gateway/src/main/java/io/hornbeamscale/gateway/PlainRelay.java
@@ -6,7 +6,6 @@
 import io.hornbeamscale.core.route.Customer;
 import io.undertow.server.HttpServerExchange;
 import io.undertow.util.HeaderMap;
-import java.io.ByteArrayOutputStream;
 import java.nio.ByteBuffer;
 import java.util.HashSet;
 import java.util.List;
@@ -25,6 +24,9 @@
     /** The greatest number of times that a request is sent, including refused sends. */
     private static final int MAX_SENDS = 3;
 
+    /** The maximum size of a response, in bytes. It is read in full before the caller receives it. */
+    private static final int MAX_RESPONSE_BYTES = 640 * 1024;
+
     /**
      * The share of the remaining time that an attempt of a repeatable request may take while another attempt is
      * allowed.
@@ -118,7 +120,7 @@
     private final class Attempt implements BackendExchange.Listener {
         private final FleetServer server;
         private final long sentAtMillis;
-        private final ByteArrayOutputStream body = new ByteArrayOutputStream();
+        private final ResponseBody body = new ResponseBody(MAX_RESPONSE_BYTES);
         private BackendExchange exchange;
         private XnioExecutor.Key timer;
         private int status;
@@ -187,9 +189,10 @@
 
         @Override
         public void received(ByteBuffer bytes) {
-            byte[] copy = new byte[bytes.remaining()];
-            bytes.get(copy);
-            body.writeBytes(copy);
+            if (!body.add(bytes)) {
+                exchange.cancel();
+                failed(BackendExchange.Failure.BROKEN, "the response exceeds " + MAX_RESPONSE_BYTES + " bytes");
+            }
         }
 
         @Override
--- a/gateway/src/main/java/io/hornbeamscale/gateway/StreamAttempt.java
+++ b/gateway/src/main/java/io/hornbeamscale/gateway/StreamAttempt.java
@@ -5,7 +5,6 @@
 import io.hornbeamscale.core.placement.ServerLoad;
 import io.hornbeamscale.core.route.Customer;
 import io.undertow.util.HeaderMap;
-import java.io.ByteArrayOutputStream;
 import java.nio.ByteBuffer;
 import java.util.Optional;
 
@@ -16,6 +15,12 @@
     /** The number of events over which a server's pace is measured. */
     private static final int PACE_EVENTS = 4;
 
+    /** The maximum size of an event, in bytes. */
+    private static final int MAX_EVENT_BYTES = 256 * 1024;
+
+    /** The maximum size of a response that is no stream, in bytes. */
+    private static final int MAX_ERROR_BYTES = 64 * 1024;
+
     private static final int STATUS_OK = 200;
     private static final int STATUS_MISDIRECTED = 421;
 
@@ -24,7 +29,7 @@
     private final Optional<BackendRequestFields.Continuation> continuation;
     private final Optional<FleetServer> backup;
     private final EventSplitter events;
-    private final ByteArrayOutputStream errorBody = new ByteArrayOutputStream();
+    private final ResponseBody errorBody = new ResponseBody(MAX_ERROR_BYTES);
     private ServerLoad load;
     private BackendExchange exchange;
     private long sentAtMillis;
@@ -160,12 +165,18 @@
     @Override
     public void received(ByteBuffer bytes) {
         if (!isStream()) {
-            byte[] copy = new byte[bytes.remaining()];
-            bytes.get(copy);
-            errorBody.writeBytes(copy);
+            if (!errorBody.add(bytes)) {
+                exchange.cancel();
+                failed(BackendExchange.Failure.BROKEN, "the error response exceeds " + MAX_ERROR_BYTES + " bytes");
+            }
             return;
         }
         byte[] found = events.feed(bytes);
+        if (events.pendingBytes() > MAX_EVENT_BYTES) {
+            exchange.cancel();
+            failed(BackendExchange.Failure.BROKEN, "an event exceeds " + MAX_EVENT_BYTES + " bytes");
+            return;
+        }
         if (found.length == 0) {
             return;
         }
