--- a/core/src/main/java/io/hornbeamscale/core/placement/GenerationPlacement.java
+++ b/core/src/main/java/io/hornbeamscale/core/placement/GenerationPlacement.java
@@ -28,10 +28,10 @@
      * The share of an engine's memory in use up to which long responses are placed there. The rest is for short
      * responses and for streams that move away from a leaving server.
      */
-    static final double MAX_USED_SHARE_LONG = 0.9;
+    static final double MAX_USED_SHARE_LONG = 0.85;
 
     /** The same share for short responses, which free their memory before the others grow. */
-    static final double MAX_USED_SHARE_SHORT = 1.0;
+    static final double MAX_USED_SHARE_SHORT = 0.95;
 
     /**
      * The cost of memory that could not move anywhere if the server left, for memory of the size of one engine, in
