Read large changes from the store instead of passing them on

Cause: found while reading the diff: a document of hundreds of kilobytes would be sent by four entries to every other one, over links of 7 Mbit/s, and a connection whose queue exceeds 64 KB is closed; a message above a frame's megabyte would throw before the next watch was sent. Change: changes above 16 KB are only told of by the status; the others read them with one call. The next watch is sent before the listener runs.

--- a/gateway/src/main/java/io/hornbeamscale/gateway/Gateway.java
+++ b/gateway/src/main/java/io/hornbeamscale/gateway/Gateway.java
@@ -77,6 +77,12 @@
     /** The relative change of the estimated time per event from which on it is sent to the other entries again. */
     private static final double MIN_PACE_CHANGE = 0.05;
 
+    /**
+     * The maximum size of the values that are passed on to every other entry, in bytes. A large document would fill the
+     * links of small VMs, which carry 7 Mbit/s.
+     */
+    private static final long MAX_PASSED_ON_BYTES = 16 * 1024;
+
     private static final long SWEEP_INTERVAL_MILLIS = 1_000;
     private static final double MICROS_PER_MILLI = 1_000;
 
@@ -369,6 +375,11 @@
 
         @Override
         public void changesWatched(long afterRevision, StoreFollower.ChangeBatch batch) {
+            if (batch.valueBytes() > MAX_PASSED_ON_BYTES) {
+                // The status tells the others of the revision, and they read the changes from the store.
+                thread.execute(Gateway.this::collectStatus);
+                return;
+            }
             peers.broadcast(
                     new StoreItemsMessage(afterRevision, batch.revision(), encode(batch.items())), ControlLoop.now());
         }
@@ -401,7 +412,7 @@
                 storeLagSinceMillis = now;
                 executeLater(STORE_LAG_MILLIS, () -> {
                     storeLagSinceMillis = 0;
-                    if (status.revision() > follower.knownRevision()) {
+                    if (status.revision() > follower.knownRevision() && !follower.catchUp()) {
                         peers.send(
                                 status.node(),
                                 new StoreItemsRequestMessage(follower.knownRevision()),
--- a/gateway/src/main/java/io/hornbeamscale/gateway/StoreFollower.java
+++ b/gateway/src/main/java/io/hornbeamscale/gateway/StoreFollower.java
@@ -153,6 +153,22 @@
         }
     }
 
+    /**
+     * Reads the changes since the known revision from the store with a single call, unless the store is lost or a call
+     * is in progress already.
+     *
+     * @return whether the call was made
+     */
+    boolean catchUp() {
+        if (isStoreLost || isCalling) {
+            return false;
+        }
+        isCalling = true;
+        watchRevision = Math.max(watchRevision, knownRevision);
+        store.watch("", watchRevision, WATCH_WAIT_MILLIS, result -> control.accept(() -> watched(result)));
+        return true;
+    }
+
     /** Returns whether this entry watches the store itself and its last call succeeded. */
     boolean hasWorkingWatch() {
         return isWatching && isCalling && !isStoreLost;
@@ -235,10 +251,10 @@
         if (!changes.items().isEmpty()) {
             listener.changesApplied();
         }
-        if (!news.isEmpty()) {
+        watch();
+        if (isWatching && !news.isEmpty()) {
             listener.changesWatched(before, new ChangeBatch(watchRevision, news));
         }
-        watch();
     }
 
     private void storeAnswered(long nowMillis) {
@@ -322,7 +338,15 @@
      * @param revision the revision up to which all changes are known once the batch is applied
      * @param items the changed items, oldest first
      */
-    record ChangeBatch(long revision, List<StoreItem> items) {}
+    record ChangeBatch(long revision, List<StoreItem> items) {
+        /** Returns the size of all values, in bytes. */
+        long valueBytes() {
+            return items.stream()
+                    .filter(item -> !item.isRemoved())
+                    .mapToLong(item -> item.value().length)
+                    .sum();
+        }
+    }
 
     /** Receives the changes in the store. */
     interface Listener {
--- a/gateway/src/test/java/io/hornbeamscale/gateway/StoreFollowerTest.java
+++ b/gateway/src/test/java/io/hornbeamscale/gateway/StoreFollowerTest.java
@@ -209,6 +209,24 @@
             assertEquals("watch after 12", store.lastCall());
         }
 
+        /** A large document is not passed on by other entries; they only tell of its revision. */
+        @Test
+        void aSingleCallReadsWhatOtherEntriesOnlyToldOf() {
+            store.reply(items(false, 10));
+            assertTrue(follower.catchUp());
+            assertEquals("watch after 10", store.lastCall());
+            store.reply(items(false, 12, item("doc", 12, "8")));
+            assertEquals(List.of(7L, 8L), versions);
+            assertFalse(store.hasPendingCall());
+            assertEquals(List.of(), passedOn, "only watching entries pass changes on");
+        }
+
+        @Test
+        void nothingIsReadWhileTheStoreIsLost() {
+            store.reply(new StoreResult.Unavailable("no answer"));
+            assertFalse(follower.catchUp());
+        }
+
         /** A registration that disappeared while the store was away may belong to a server that lives. */
         @Test
         void aRemovalRightAfterTheNextStartIsNotTrustedAtOnce() {
