Log what distinguishes the requests in flight at a crash

Change: one line in_flight_at_crash for each such request with its fingerprint, prompt parts and the progress of its response, and the counter hornbeamscale_crashes. No decision changes.

--- a/gateway/src/main/java/io/hornbeamscale/gateway/CrashDetector.java
+++ b/gateway/src/main/java/io/hornbeamscale/gateway/CrashDetector.java
@@ -10,6 +10,7 @@
 import io.hornbeamscale.core.store.StoreCall;
 import io.hornbeamscale.core.store.StoreReply;
 import io.hornbeamscale.core.util.TruncatedSha256;
+import java.util.ArrayList;
 import java.util.HashMap;
 import java.util.HashSet;
 import java.util.List;
@@ -36,7 +37,7 @@
     private final Consumer<StoreCall> callStore;
 
     /** The requests whose connections broke, by incarnation of their server. */
-    private final Map<String, Set<RequestFingerprint>> brokenRequests = new HashMap<>();
+    private final Map<String, List<BrokenRequest>> brokenRequests = new HashMap<>();
 
     CrashDetector(
             TrafficState traffic,
@@ -66,19 +67,19 @@
     }
 
     /** Records that the connection to a server broke while it ran a request. */
-    void connectionBroke(FleetServer server, RelayRequest request) {
+    void connectionBroke(FleetServer server, RelayRequest request, ResponseProgress progress) {
         boolean isReady = traffic.server(server.id()).map(FleetServer::isReady).orElse(false);
         if (!isReady) {
             return;
         }
         String incarnation = server.id() + "/" + server.registration().startedAtMillis();
-        Set<RequestFingerprint> requests = brokenRequests.get(incarnation);
+        List<BrokenRequest> requests = brokenRequests.get(incarnation);
         if (requests != null) {
-            requests.add(fingerprint(request));
+            requests.add(new BrokenRequest(request, progress));
             return;
         }
-        requests = new HashSet<>();
-        requests.add(fingerprint(request));
+        requests = new ArrayList<>();
+        requests.add(new BrokenRequest(request, progress));
         brokenRequests.put(incarnation, requests);
         traffic.thread().executeAfter(() -> check(server, incarnation), COLLECTION_MILLIS, TimeUnit.MILLISECONDS);
     }
@@ -103,11 +104,19 @@
 
     private void check(FleetServer server, String incarnation) {
         traffic.client().probe(server.registration().address(), CONNECT_TIMEOUT_MILLIS, isOpen -> {
-            Set<RequestFingerprint> requests = brokenRequests.remove(incarnation);
-            if (!isOpen && requests != null) {
-                traffic.log().crashSeen(server.id(), requests.size());
-                carryOut(controller.crashed(new CrashReport(incarnation, requests), ControlLoop.now()));
+            List<BrokenRequest> requests = brokenRequests.remove(incarnation);
+            if (isOpen || requests == null) {
+                return;
             }
+            traffic.log().crashSeen(server.id(), requests.size());
+            traffic.metrics().count("crashes");
+            Set<RequestFingerprint> inFlight = new HashSet<>();
+            for (BrokenRequest broken : requests) {
+                RequestFingerprint fingerprint = fingerprint(broken.request());
+                traffic.log().inFlightAtCrash(broken.request(), server.id(), fingerprint.digest(), broken.progress());
+                inFlight.add(fingerprint);
+            }
+            carryOut(controller.crashed(new CrashReport(incarnation, inFlight), ControlLoop.now()));
         });
     }
 
@@ -123,4 +132,6 @@
             }
         }
     }
+
+    private record BrokenRequest(RelayRequest request, ResponseProgress progress) {}
 }
--- a/gateway/src/main/java/io/hornbeamscale/gateway/DecisionLog.java
+++ b/gateway/src/main/java/io/hornbeamscale/gateway/DecisionLog.java
@@ -4,6 +4,7 @@
 import io.hornbeamscale.core.placement.ServerLoad;
 import java.util.HashMap;
 import java.util.Map;
+import java.util.stream.Collectors;
 import org.apache.logging.log4j.LogManager;
 import org.apache.logging.log4j.Logger;
 import org.apache.logging.log4j.message.StringMapMessage;
@@ -120,6 +121,19 @@
         }
     }
 
+    /** Logs what distinguishes a request that was in flight when a server crashed. */
+    void inFlightAtCrash(RelayRequest request, String server, String fingerprint, ResponseProgress progress) {
+        if (isAllowed("in_flight_at_crash")) {
+            String parts =
+                    request.head().promptParts().stream().map(PromptPart::id).collect(Collectors.joining(","));
+            fleet.info(line("in_flight_at_crash", request)
+                    .with("server", server)
+                    .with("fingerprint", fingerprint)
+                    .with("promptParts", parts)
+                    .with("progress", progress.name()));
+        }
+    }
+
     /** Logs that a request was quarantined because it crashes servers. */
     void requestQuarantined(String fingerprint) {
         if (isAllowed("convicted")) {
--- a/gateway/src/main/java/io/hornbeamscale/gateway/StreamAttempt.java
+++ b/gateway/src/main/java/io/hornbeamscale/gateway/StreamAttempt.java
@@ -21,6 +21,12 @@
     /** The maximum size of a response that is no stream, in bytes. */
     private static final int MAX_ERROR_BYTES = 64 * 1024;
 
+    /**
+     * How long a response counts as just begun, in milliseconds; an engine that crashes on a prompt does so with its
+     * first tokens.
+     */
+    private static final long BEGINNING_MILLIS = 250;
+
     private static final int STATUS_OK = 200;
     private static final int STATUS_MISDIRECTED = 421;
 
@@ -38,6 +44,7 @@
     private long paceStartMillis;
     private long paceStartId;
     private boolean isNotRun;
+    private long firstEventAtMillis;
     private boolean hasEvents;
     private boolean isEnded;
 
@@ -122,6 +129,14 @@
         return hasEvents;
     }
 
+    /** Returns how far the response has come. */
+    ResponseProgress progress(long nowMillis) {
+        if (hasEvents && nowMillis - firstEventAtMillis >= BEGINNING_MILLIS) {
+            return ResponseProgress.ADVANCED;
+        }
+        return isStream() ? ResponseProgress.BEGUN : ResponseProgress.WAITING;
+    }
+
     /** Returns the id of the last event that the caller has, as far as this attempt knows. */
     long lastId() {
         return events.lastId();
@@ -181,6 +196,9 @@
             return;
         }
         boolean isFirst = !hasEvents;
+        if (isFirst) {
+            firstEventAtMillis = ControlLoop.now();
+        }
         hasEvents = true;
         if (events.hasGap()) {
             exchange.cancel();
--- a/gateway/src/main/java/io/hornbeamscale/gateway/StreamRelay.java
+++ b/gateway/src/main/java/io/hornbeamscale/gateway/StreamRelay.java
@@ -241,7 +241,7 @@
             handOverFailed(from, why);
             return;
         }
-        traffic().crashDetector().connectionBroke(from.server(), request());
+        traffic().crashDetector().connectionBroke(from.server(), request(), from.progress(ControlLoop.now()));
         if (next != null) {
             // The second server continues the stream, or its hand-over times out.
             return;
