Quarantine prompt parts that crash engines

Cause: the quarantine identified a request by customer, path and body. Requests that share only a prompt part counted as new ones each time, so no number of crashes added up. Besides, only the first report of a crash counted, though each entry knows only its own requests in flight. Change: entries report the prompt parts of the requests in flight, those whose responses had just begun apart from those that waited; reports of one crash add up. The last part belongs to one request and is never blamed. Requests in progress with a quarantined part end at once, and a stream without events is not continued from its backup, where it would crash the next server. Reports travel in a message kind that earlier releases ignore.

--- a/core/src/main/java/io/hornbeamscale/core/quarantine/QuarantineAction.java
+++ b/core/src/main/java/io/hornbeamscale/core/quarantine/QuarantineAction.java
@@ -19,9 +19,10 @@
     record SendPeers(QuarantineUpdate update) implements QuarantineAction {}
 
     /**
-     * Refuses the request from now on; waiting copies end with {@code request_quarantined}, running ones are cancelled.
+     * Refuses the request, or all requests with the content, from now on; waiting ones end with
+     * {@code request_quarantined}, running ones are cancelled.
      *
-     * @param fingerprint the fingerprint of the request
+     * @param fingerprint the fingerprint of the request or of the content
      */
     record Refuse(RequestFingerprint fingerprint) implements QuarantineAction {}
 }
--- a/core/src/main/java/io/hornbeamscale/core/quarantine/QuarantineController.java
+++ b/core/src/main/java/io/hornbeamscale/core/quarantine/QuarantineController.java
@@ -4,15 +4,17 @@
 import io.hornbeamscale.core.store.StoreReply;
 import io.hornbeamscale.core.util.Arguments;
 import java.util.ArrayList;
+import java.util.Collection;
 import java.util.List;
 import java.util.Map;
 import java.util.random.RandomGenerator;
 
 /**
  * Keeps requests that crash engines from running again. The requests in flight at a crash become suspects; a suspect
- * that is in flight at a second crash is quarantined, and the other suspects are cleared. Quarantined requests are sent
- * to all entries at once and kept in the store; suspects are sent only. Every method returns the actions to carry out,
- * never null. Not safe for use by several threads.
+ * that is in flight at a second crash is quarantined, and the other suspects are cleared. Content that different
+ * requests share is quarantined after several crashes without a success in between, see {@link ContentSuspectTable}.
+ * Quarantined requests and content are sent to all entries at once and kept in the store; suspects are sent only. Every
+ * method returns the actions to carry out, never null. Not safe for use by several threads.
  */
 public final class QuarantineController {
     /** The store key of the quarantined requests. */
@@ -32,6 +34,7 @@
     private final long epochOffsetMillis;
     private final RandomGenerator random;
     private final SuspectTable suspectTable = new SuspectTable();
+    private final ContentSuspectTable contentTable = new ContentSuspectTable();
     private final QuarantineTable quarantineTable = new QuarantineTable();
     private Map<RequestFingerprint, QuarantinedRequest> pendingWrite = Map.of();
     private StoreCall pendingCall;
@@ -74,7 +77,41 @@
      * @return the actions to carry out
      */
     public List<QuarantineAction> crashed(CrashReport report, long nowMillis) {
-        return apply(List.of(Arguments.notNull(report, "report")), List.of(), List.of(), true, nowMillis);
+        return apply(
+                new QuarantineUpdate(List.of(Arguments.notNull(report, "report")), List.of(), List.of(), List.of()),
+                true,
+                nowMillis);
+    }
+
+    /**
+     * Handles a crash with the content of the requests in flight. Reports of the same crash add up.
+     *
+     * @param report the report, not null
+     * @param nowMillis the present time
+     * @return the actions to carry out
+     */
+    public List<QuarantineAction> contentCrashed(ContentCrashReport report, long nowMillis) {
+        return apply(
+                new QuarantineUpdate(List.of(), List.of(), List.of(), List.of(Arguments.notNull(report, "report"))),
+                true,
+                nowMillis);
+    }
+
+    /**
+     * Records that an engine has responded to content without a crash, so that the content is no longer suspected.
+     *
+     * @param content the content, not null
+     * @param nowMillis the present time
+     * @return the actions to carry out
+     */
+    public List<QuarantineAction> contentSucceeded(Collection<RequestFingerprint> content, long nowMillis) {
+        List<RequestFingerprint> cleared = new ArrayList<>();
+        for (RequestFingerprint each : content) {
+            if (contentTable.succeeded(each, quarantineTable.all(), nowMillis)) {
+                cleared.add(each);
+            }
+        }
+        return cleared.isEmpty() ? List.of() : List.of(sendCleared(cleared));
     }
 
     /**
@@ -88,8 +125,7 @@
         if (!suspectTable.clear(fingerprint)) {
             return List.of();
         }
-        return List.of(
-                new QuarantineAction.SendPeers(new QuarantineUpdate(List.of(), List.of(fingerprint), List.of())));
+        return List.of(sendCleared(List.of(fingerprint)));
     }
 
     /**
@@ -101,7 +137,7 @@
      */
     public List<QuarantineAction> peerReported(QuarantineUpdate update, long nowMillis) {
         Arguments.notNull(update, "update");
-        return apply(update.reports(), update.cleared(), update.quarantined(), false, nowMillis);
+        return apply(update, false, nowMillis);
     }
 
     /**
@@ -145,33 +181,47 @@
         return List.of(call(new StoreCall.Get(STORE_KEY)));
     }
 
-    private List<QuarantineAction> apply(
-            List<CrashReport> reports,
-            List<RequestFingerprint> cleared,
-            List<QuarantinedRequest> quarantined,
-            boolean isFromAgent,
-            long nowMillis) {
+    private List<QuarantineAction> apply(QuarantineUpdate update, boolean isOwn, long nowMillis) {
         List<QuarantineAction> actions = new ArrayList<>();
         List<QuarantinedRequest> added = new ArrayList<>();
-        for (QuarantinedRequest request : quarantined) {
+        for (QuarantinedRequest request : update.quarantined()) {
             quarantine(request, actions, nowMillis);
         }
-        cleared.forEach(suspectTable::clear);
-        for (CrashReport report : reports) {
+        for (RequestFingerprint fingerprint : update.cleared()) {
+            suspectTable.clear(fingerprint);
+            contentTable.succeeded(fingerprint, quarantineTable.all(), nowMillis);
+        }
+        for (CrashReport report : update.reports()) {
             for (RequestFingerprint fingerprint : suspectTable.crashed(report, quarantineTable.all(), nowMillis)) {
-                QuarantinedRequest request =
-                        new QuarantinedRequest(fingerprint, nowMillis + epochOffsetMillis + quarantineMillis);
-                quarantine(request, actions, nowMillis);
-                added.add(request);
+                added.add(convict(fingerprint, actions, nowMillis));
             }
         }
-        if (isFromAgent || !added.isEmpty()) {
-            actions.add(new QuarantineAction.SendPeers(
-                    new QuarantineUpdate(isFromAgent ? reports : List.of(), List.of(), added)));
+        for (ContentCrashReport report : update.contentReports()) {
+            contentTable
+                    .crashed(report, quarantineTable.all(), nowMillis)
+                    .ifPresent(content -> added.add(convict(content, actions, nowMillis)));
+        }
+        if (isOwn || !added.isEmpty()) {
+            actions.add(new QuarantineAction.SendPeers(new QuarantineUpdate(
+                    isOwn ? update.reports() : List.of(),
+                    List.of(),
+                    added,
+                    isOwn ? update.contentReports() : List.of())));
         }
         return actions;
     }
 
+    private QuarantinedRequest convict(RequestFingerprint fingerprint, List<QuarantineAction> actions, long nowMillis) {
+        QuarantinedRequest request =
+                new QuarantinedRequest(fingerprint, nowMillis + epochOffsetMillis + quarantineMillis);
+        quarantine(request, actions, nowMillis);
+        return request;
+    }
+
+    private static QuarantineAction sendCleared(List<RequestFingerprint> cleared) {
+        return new QuarantineAction.SendPeers(new QuarantineUpdate(List.of(), cleared, List.of(), List.of()));
+    }
+
     private void quarantine(QuarantinedRequest request, List<QuarantineAction> actions, long nowMillis) {
         if (!quarantineTable.add(request, nowMillis + epochOffsetMillis)) {
             return;
--- a/gateway/src/main/java/io/hornbeamscale/gateway/CrashDetector.java
+++ b/gateway/src/main/java/io/hornbeamscale/gateway/CrashDetector.java
@@ -1,6 +1,7 @@
 package io.hornbeamscale.gateway;
 
 import io.hornbeamscale.core.fleet.FleetServer;
+import io.hornbeamscale.core.quarantine.ContentCrashReport;
 import io.hornbeamscale.core.quarantine.CrashReport;
 import io.hornbeamscale.core.quarantine.QuarantineAction;
 import io.hornbeamscale.core.quarantine.QuarantineController;
@@ -31,6 +32,9 @@
     /** How long the server may take to accept a connection, in milliseconds. */
     private static final long CONNECT_TIMEOUT_MILLIS = 500;
 
+    /** The kind of content that the parts of a prompt are. */
+    private static final String PROMPT_PART = "prompt part";
+
     private final TrafficState traffic;
     private final QuarantineController controller;
     private final Consumer<QuarantineUpdate> sendToPeers;
@@ -61,9 +65,20 @@
         return new RequestFingerprint(TruncatedSha256.of(body, customer, request.method(), request.target()));
     }
 
-    /** Returns whether a request is quarantined because it has crashed servers. */
+    /** Returns the fingerprints of the prompt parts that other requests may share; the last part is never shared. */
+    static List<RequestFingerprint> sharedParts(RelayRequest request) {
+        List<PromptPart> parts = request.head().promptParts();
+        return parts.stream()
+                .limit(Math.max(0, parts.size() - 1))
+                .map(part -> RequestFingerprint.ofContent(PROMPT_PART, part.id()))
+                .toList();
+    }
+
+    /** Returns whether a request is quarantined because it, or a part of its prompt, has crashed servers. */
     boolean isQuarantined(RelayRequest request, long nowMillis) {
-        return controller.check(fingerprint(request), nowMillis) == QuarantineStatus.QUARANTINED;
+        return controller.check(fingerprint(request), nowMillis) == QuarantineStatus.QUARANTINED
+                || sharedParts(request).stream()
+                        .anyMatch(part -> controller.check(part, nowMillis) == QuarantineStatus.QUARANTINED);
     }
 
     /** Records that the connection to a server broke while it ran a request. */
@@ -84,9 +99,15 @@
         traffic.thread().executeAfter(() -> check(server, incarnation), COLLECTION_MILLIS, TimeUnit.MILLISECONDS);
     }
 
-    /** Records a complete response, which clears the request of suspicion. */
+    /** Records a response that has advanced, which clears the parts of the prompt of suspicion. */
+    void advanced(RelayRequest request, long nowMillis) {
+        carryOut(controller.contentSucceeded(sharedParts(request), nowMillis));
+    }
+
+    /** Records a complete response, which clears the request and the parts of its prompt of suspicion. */
     void completed(RelayRequest request, long nowMillis) {
         carryOut(controller.completed(fingerprint(request), nowMillis));
+        advanced(request, nowMillis);
     }
 
     /** Handles quarantine news of another entry. */
@@ -110,16 +131,31 @@
             }
             traffic.log().crashSeen(server.id(), requests.size());
             traffic.metrics().count("crashes");
-            Set<RequestFingerprint> inFlight = new HashSet<>();
-            for (BrokenRequest broken : requests) {
-                RequestFingerprint fingerprint = fingerprint(broken.request());
-                traffic.log().inFlightAtCrash(broken.request(), server.id(), fingerprint.digest(), broken.progress());
-                inFlight.add(fingerprint);
-            }
-            carryOut(controller.crashed(new CrashReport(incarnation, inFlight), ControlLoop.now()));
+            report(server.id(), incarnation, requests, ControlLoop.now());
         });
     }
 
+    private void report(String server, String incarnation, List<BrokenRequest> requests, long nowMillis) {
+        Set<RequestFingerprint> inFlight = new HashSet<>();
+        List<RequestFingerprint> begun = new ArrayList<>();
+        List<RequestFingerprint> waiting = new ArrayList<>();
+        for (BrokenRequest broken : requests) {
+            RequestFingerprint fingerprint = fingerprint(broken.request());
+            traffic.log().inFlightAtCrash(broken.request(), server, fingerprint.digest(), broken.progress());
+            inFlight.add(fingerprint);
+            // Content crashes an engine before the response advances.
+            if (broken.progress() == ResponseProgress.BEGUN) {
+                begun.addAll(sharedParts(broken.request()));
+            } else if (broken.progress() == ResponseProgress.WAITING) {
+                waiting.addAll(sharedParts(broken.request()));
+            }
+        }
+        carryOut(controller.crashed(new CrashReport(incarnation, inFlight), nowMillis));
+        if (!begun.isEmpty() || !waiting.isEmpty()) {
+            carryOut(controller.contentCrashed(new ContentCrashReport(incarnation, begun, waiting), nowMillis));
+        }
+    }
+
     private void carryOut(List<QuarantineAction> actions) {
         for (QuarantineAction action : actions) {
             if (action instanceof QuarantineAction.CallStore a) {
@@ -129,6 +165,7 @@
             } else if (action instanceof QuarantineAction.Refuse a) {
                 traffic.log().requestQuarantined(a.fingerprint().digest());
                 traffic.metrics().count("convicted");
+                traffic.relays().forEach(relay -> relay.endIfQuarantined(ControlLoop.now()));
             }
         }
     }
--- a/gateway/src/main/java/io/hornbeamscale/gateway/PlainRelay.java
+++ b/gateway/src/main/java/io/hornbeamscale/gateway/PlainRelay.java
@@ -70,6 +70,11 @@
         // A leaving server completes the requests that it runs.
     }
 
+    @Override
+    void endIfQuarantined(long nowMillis) {
+        // Only generations are quarantined.
+    }
+
     private void send(long nowMillis) {
         List<FleetServer> servers = traffic().fleet().ready(request().service().name());
         Optional<FleetServer> chosen = traffic()
--- a/gateway/src/main/java/io/hornbeamscale/gateway/Relay.java
+++ b/gateway/src/main/java/io/hornbeamscale/gateway/Relay.java
@@ -67,6 +67,9 @@
     /** Handles a new fleet snapshot. */
     abstract void fleetChanged();
 
+    /** Ends the request if it is quarantined and no server makes progress with it. */
+    abstract void endIfQuarantined(long nowMillis);
+
     /** Returns details for the log line at the end of the request, empty for none. */
     String detail() {
         return "";
--- a/gateway/src/main/java/io/hornbeamscale/gateway/StreamAttempt.java
+++ b/gateway/src/main/java/io/hornbeamscale/gateway/StreamAttempt.java
@@ -45,6 +45,7 @@
     private long paceStartId;
     private boolean isNotRun;
     private long firstEventAtMillis;
+    private boolean hasAdvanced;
     private boolean hasEvents;
     private boolean isEnded;
 
@@ -208,7 +209,12 @@
         if (isFirst) {
             prefillCompleted();
         }
-        observePace(ControlLoop.now());
+        long now = ControlLoop.now();
+        observePace(now);
+        if (!hasAdvanced && progress(now) == ResponseProgress.ADVANCED) {
+            hasAdvanced = true;
+            relay.traffic().crashDetector().advanced(relay.request(), now);
+        }
         relay.received(this, found, isFirst);
     }
 
--- a/gateway/src/main/java/io/hornbeamscale/gateway/StreamRelay.java
+++ b/gateway/src/main/java/io/hornbeamscale/gateway/StreamRelay.java
@@ -82,6 +82,19 @@
         moveIfServerLeaves();
     }
 
+    @Override
+    void endIfQuarantined(long nowMillis) {
+        boolean hasAdvanced = current != null && progress(current, nowMillis) == ResponseProgress.ADVANCED;
+        if (isEnded() || hasAdvanced || !traffic().crashDetector().isQuarantined(request(), nowMillis)) {
+            return;
+        }
+        if (mayHaveRun()) {
+            failAsLost("the request was quarantined while a server began to run it");
+        } else {
+            failAsQuarantined();
+        }
+    }
+
     /** Sends the request to a server with room, if there is one. Returns whether it need not wait any longer. */
     boolean tryPlace() {
         if (isEnded()) {
@@ -90,7 +103,7 @@
         long now = ControlLoop.now();
         if (traffic().crashDetector().isQuarantined(request(), now)) {
             // The request was quarantined while it waited for room.
-            fail(ErrorKind.REQUEST_QUARANTINED, -1, "the request has crashed servers");
+            failAsQuarantined();
             return true;
         }
         List<FleetServer> servers = servers();
@@ -241,13 +254,14 @@
             handOverFailed(from, why);
             return;
         }
-        traffic().crashDetector().connectionBroke(from.server(), request(), from.progress(ControlLoop.now()));
+        traffic().crashDetector().connectionBroke(from.server(), request(), progress(from, ControlLoop.now()));
         if (next != null) {
             // The second server continues the stream, or its hand-over times out.
             return;
         }
         Optional<FleetServer> copy = usableBackup();
-        if (copy.isPresent() && response().isStarted()) {
+        // A stream without events may have crashed its server, and would crash the next one.
+        if (copy.isPresent() && firstEventMillis >= 0) {
             traffic().log().repeated(request(), from.server(), why);
             handOver(copy.get(), copy.get().registration().address(), request().id());
         } else {
@@ -334,6 +348,15 @@
         lastEventAtMillis = now;
     }
 
+    private ResponseProgress progress(StreamAttempt attempt, long nowMillis) {
+        boolean isContinued = handOvers > 0 && firstEventMillis >= 0;
+        return isContinued ? ResponseProgress.ADVANCED : attempt.progress(nowMillis);
+    }
+
+    private void failAsQuarantined() {
+        fail(ErrorKind.REQUEST_QUARANTINED, -1, "the request has crashed servers");
+    }
+
     private void failAsLost(String why) {
         fail(ErrorKind.GENERATION_LOST, -1, why);
     }
--- a/wire/src/main/java/io/hornbeamscale/wire/QuarantineCodec.java
+++ b/wire/src/main/java/io/hornbeamscale/wire/QuarantineCodec.java
@@ -1,9 +1,11 @@
 package io.hornbeamscale.wire;
 
+import com.fasterxml.jackson.annotation.JsonInclude;
 import com.fasterxml.jackson.core.JsonProcessingException;
 import com.fasterxml.jackson.databind.ObjectMapper;
 import io.hornbeamscale.core.error.ErrorKind;
 import io.hornbeamscale.core.error.ServingException;
+import io.hornbeamscale.core.quarantine.ContentCrashReport;
 import io.hornbeamscale.core.quarantine.CrashReport;
 import io.hornbeamscale.core.quarantine.QuarantineUpdate;
 import io.hornbeamscale.core.quarantine.QuarantinedRequest;
@@ -17,6 +19,10 @@
 /** Translates the news that entries exchange about crashes to and from messages. */
 public final class QuarantineCodec {
     private static final String NEWS = "news";
+
+    /** The kind of messages with content reports. Releases that do not know them ignore messages of other kinds. */
+    private static final String CONTENT_NEWS = "content";
+
     private static final ObjectMapper JSON = new ObjectMapper();
 
     private QuarantineCodec() {}
@@ -34,10 +40,17 @@
         List<ConvictionJson> convictions = news.quarantined().stream()
                 .map(c -> new ConvictionJson(c.fingerprint().digest(), c.expiresMillis()))
                 .toList();
+        List<ContentCrashJson> contentReports = news.contentReports().stream()
+                .map(r -> new ContentCrashJson(r.crashId(), digests(r.begun()), digests(r.waiting())))
+                .toList();
         try {
             return new QuarantineMessage(
-                    NEWS,
-                    JSON.writeValueAsString(new QuarantineNewsJson(reports, digests(news.cleared()), convictions)));
+                    contentReports.isEmpty() ? NEWS : CONTENT_NEWS,
+                    JSON.writeValueAsString(new QuarantineNewsJson(
+                            reports,
+                            digests(news.cleared()),
+                            convictions,
+                            contentReports.isEmpty() ? null : contentReports)));
         } catch (JsonProcessingException e) {
             throw new IllegalStateException("cannot write quarantine news", e);
         }
@@ -51,7 +64,7 @@
      * @throws ServingException of kind {@link ErrorKind#BAD_FRAME} if the content is malformed
      */
     public static Optional<QuarantineUpdate> decode(QuarantineMessage message) {
-        if (!message.kind().equals(NEWS)) {
+        if (!message.kind().equals(NEWS) && !message.kind().equals(CONTENT_NEWS)) {
             return Optional.empty();
         }
         try {
@@ -62,7 +75,15 @@
             List<QuarantinedRequest> quarantined = news.convictions().stream()
                     .map(r -> new QuarantinedRequest(new RequestFingerprint(r.request()), r.until()))
                     .toList();
-            return Optional.of(new QuarantineUpdate(reports, fingerprints(news.cleared()), quarantined));
+            List<ContentCrashJson> contentReports = news.contentReports() == null ? List.of() : news.contentReports();
+            return Optional.of(new QuarantineUpdate(
+                    reports,
+                    fingerprints(news.cleared()),
+                    quarantined,
+                    contentReports.stream()
+                            .map(r ->
+                                    new ContentCrashReport(r.id(), fingerprints(r.begun()), fingerprints(r.waiting())))
+                            .toList()));
         } catch (JsonProcessingException | IllegalArgumentException | NullPointerException e) {
             throw new ServingException(ErrorKind.BAD_FRAME, "quarantine news is malformed: " + e.getMessage());
         }
@@ -77,7 +98,12 @@
     }
 
     private record QuarantineNewsJson(
-            List<CrashReportJson> reports, List<String> cleared, List<ConvictionJson> convictions) {}
+            List<CrashReportJson> reports,
+            List<String> cleared,
+            List<ConvictionJson> convictions,
+            @JsonInclude(JsonInclude.Include.NON_NULL) List<ContentCrashJson> contentReports) {}
+
+    private record ContentCrashJson(String id, List<String> begun, List<String> waiting) {}
 
     private record CrashReportJson(String id, List<String> requests) {}
 
