Quarantine prompt passages that crash engines, for callers of the entries

Cause: the same as at the gateway; callers of this interface send text instead of named parts. Change: passages separated by blank lines are the content that requests may share. Each entry reports the passages of its own requests in an agent's crash report and clears those whose tokens arrive for 250 ms or whose response is complete. The agent's messages are unchanged. Evidence: QuarantineGateTest.SharedContent needs the new argument, so it has no run on the old code; requests with different bodies had different fingerprints there, of which none reached a second crash. 16 tests of the gate and the passages green.

--- a/core/src/main/java/io/hornbeamscale/core/entry/EntryRequest.java
+++ b/core/src/main/java/io/hornbeamscale/core/entry/EntryRequest.java
@@ -1,10 +1,12 @@
 package io.hornbeamscale.core.entry;
 
 import io.hornbeamscale.core.claim.DuplicateProtection;
+import io.hornbeamscale.core.quarantine.RequestFingerprint;
 import io.hornbeamscale.core.stream.DeliveryMode;
 import io.hornbeamscale.core.util.Arguments;
 import io.hornbeamscale.core.work.BackendCall;
 import io.hornbeamscale.core.work.WorkItem;
+import java.util.List;
 
 /**
  * A request of a caller.
@@ -16,6 +18,7 @@
  *     delivered
  * @param idempotencyKey the caller's idempotency key, empty if it sent none
  * @param protection how the call is protected against a second execution, not null
+ * @param content what it may share with other requests, such as passages of its prompt, not null
  */
 public record EntryRequest(
         WorkItem work,
@@ -23,13 +26,15 @@
         boolean isStreaming,
         boolean mayRestart,
         String idempotencyKey,
-        DuplicateProtection protection) {
+        DuplicateProtection protection,
+        List<RequestFingerprint> content) {
     /** Checks the parts. */
     public EntryRequest {
         Arguments.notNull(work, "work");
         Arguments.notNull(call, "call");
         Arguments.notNull(idempotencyKey, "idempotencyKey");
         Arguments.notNull(protection, "protection");
+        content = List.copyOf(Arguments.notNull(content, "content"));
     }
 
     /** Returns how the caller wants to receive the response. */
--- a/core/src/test/java/io/hornbeamscale/core/faults/ComposedEntry.java
+++ b/core/src/test/java/io/hornbeamscale/core/faults/ComposedEntry.java
@@ -134,7 +134,8 @@
                         isStreaming,
                         call.kind() == CallKind.STREAM_OR_RESTART,
                         call.kind() == CallKind.KEYED ? call.key() : "",
-                        need(call.kind())),
+                        need(call.kind()),
+                        List.of()),
                 sim.now));
     }
 
--- a/daemon/src/main/java/io/hornbeamscale/daemon/EntryDaemon.java
+++ b/daemon/src/main/java/io/hornbeamscale/daemon/EntryDaemon.java
@@ -388,6 +388,8 @@
             } else {
                 if (action instanceof EntryAction.Finish a) {
                     quarantine.completed(a.request(), now);
+                } else if (action instanceof EntryAction.Deliver a) {
+                    quarantine.tokensReceived(a.request(), now);
                 }
                 callers.carryOut(action);
             }
--- a/daemon/src/main/java/io/hornbeamscale/daemon/RequestReader.java
+++ b/daemon/src/main/java/io/hornbeamscale/daemon/RequestReader.java
@@ -103,7 +103,13 @@
                 "POST", "/v1/completions", Map.of("content-type", "application/json"), Payload.of(write(json)));
         boolean mayRestart = "allow".equalsIgnoreCase(headers.getOrDefault("x-restart", ""));
         return new EntryRequest(
-                work, call, isStreaming, mayRestart, idempotencyKey(headers), DuplicateProtection.REPEATABLE);
+                work,
+                call,
+                isStreaming,
+                mayRestart,
+                idempotencyKey(headers),
+                DuplicateProtection.REPEATABLE,
+                PromptPassages.of(model.name(), prompt));
     }
 
     /**
@@ -148,7 +154,7 @@
                 "");
         String target = query.isEmpty() ? path : path + "?" + query;
         BackendCall call = new BackendCall(method, target, HeaderFilter.filterRequest(headers), Payload.of(body));
-        return new EntryRequest(work, call, false, false, key, protection);
+        return new EntryRequest(work, call, false, false, key, protection, List.of());
     }
 
     private static ObjectNode parse(byte[] body) {
--- a/daemon/src/test/java/io/hornbeamscale/daemon/QuarantineGateTest.java
+++ b/daemon/src/test/java/io/hornbeamscale/daemon/QuarantineGateTest.java
@@ -16,6 +16,7 @@
 import io.hornbeamscale.core.id.RequestId;
 import io.hornbeamscale.core.id.ServiceId;
 import io.hornbeamscale.core.quarantine.QuarantineController;
+import io.hornbeamscale.core.quarantine.RequestFingerprint;
 import io.hornbeamscale.core.store.StoreCall;
 import io.hornbeamscale.core.work.BackendCall;
 import io.hornbeamscale.core.work.Payload;
@@ -47,6 +48,10 @@
     }
 
     private static EntryRequest request(String id, String body) {
+        return request(id, body, List.of());
+    }
+
+    private static EntryRequest request(String id, String body, List<RequestFingerprint> content) {
         WorkItem work = new WorkItem(
                 new RequestId(id),
                 new ServiceId("s"),
@@ -64,7 +69,7 @@
                 "m");
         BackendCall call =
                 new BackendCall("POST", "/v1/completions", Map.of(), Payload.of(body.getBytes(StandardCharsets.UTF_8)));
-        return new EntryRequest(work, call, false, false, "", DuplicateProtection.REPEATABLE);
+        return new EntryRequest(work, call, false, false, "", DuplicateProtection.REPEATABLE, content);
     }
 
     /** Simulates the crash of an engine that runs the requests; its agent reports it twice to the first entry. */
@@ -121,6 +126,65 @@
         }
     }
 
+    /** Requests of different bodies that share passages of their prompts. */
+    @Nested
+    class SharedContent {
+        private static final String SOUND = "You answer questions about porch lights.";
+        private static final String CRASHING = "A passage that crashes every engine.";
+
+        private EntryRequest request(String id, String... passages) {
+            String prompt = String.join("\n\n", passages) + "\n\nQuestion " + id;
+            return QuarantineGateTest.request(id, prompt, PromptPassages.of("m", prompt));
+        }
+
+        private void crashSeveralEngines(String... passages) {
+            for (int i = 0; i < 3; i++) {
+                EntryRequest request = request("r" + i, passages);
+                assertTrue(first.gate.tryAdmit(request, now), "request " + i);
+                crash("runner-" + i, request);
+                now += 1_000;
+            }
+        }
+
+        @Test
+        void thatCrashesEnginesIsRefusedAtEveryEntry() {
+            crashSeveralEngines(SOUND, CRASHING);
+            assertFalse(first.gate.tryAdmit(request("r7", SOUND, CRASHING), now));
+            assertFalse(second.gate.tryAdmit(request("r8", CRASHING), now));
+        }
+
+        @Test
+        void thatOthersUseIsNotRefused() {
+            assertTrue(first.gate.tryAdmit(request("r6", SOUND), now));
+            first.gate.completed(new RequestId("r6"), now);
+            crashSeveralEngines(CRASHING, SOUND);
+            assertTrue(first.gate.tryAdmit(request("r7", SOUND), now));
+            assertFalse(first.gate.tryAdmit(request("r8", CRASHING), now));
+        }
+
+        @Test
+        void isClearedOnceTokensHaveArrivedForAWhile() {
+            assertTrue(first.gate.tryAdmit(request("long", SOUND), now));
+            for (int i = 0; i < 3; i++) {
+                EntryRequest request = request("r" + i, SOUND);
+                assertTrue(first.gate.tryAdmit(request, now));
+                first.gate.tokensReceived(new RequestId("r" + i), now);
+                now += 300;
+                first.gate.tokensReceived(new RequestId("r" + i), now);
+                crash("runner-" + i, request);
+                now += 1_000;
+            }
+            assertTrue(first.gate.tryAdmit(request("r7", SOUND), now));
+        }
+
+        @Test
+        void endsOpenRequestsThatHaveNotAdvanced() {
+            assertTrue(first.gate.tryAdmit(request("waiting", CRASHING), now));
+            crashSeveralEngines(CRASHING);
+            assertTrue(first.refused.contains(new RequestId("waiting")));
+        }
+    }
+
     @Nested
     class Received {
         @ParameterizedTest
