Quarantine plain requests that crash servers

What callers saw: a plain request that crashes each server that runs it, sent again and again with the same path, customer and body, takes all servers of its service down, and an idempotent one two with each send. Cause: the gateway kept the quarantine for generations only. It neither reported plain requests in flight at a crash nor checked them. A server that accepted a probe is not probed again for a second, since faulty servers break off many plain requests. Without any suspicion no digest is computed. Open: plain calls on the path from entry to agent, where the agent does not report crashes of plain servers.

--- a/core/src/main/java/io/hornbeamscale/core/quarantine/ContentSuspectTable.java
+++ b/core/src/main/java/io/hornbeamscale/core/quarantine/ContentSuspectTable.java
@@ -35,6 +35,11 @@
     private final Map<String, Crash> crashes = new LinkedHashMap<>();
     private final Map<RequestFingerprint, Long> succeededMillis = new LinkedHashMap<>();
 
+    /** Returns whether no crash is known. */
+    boolean isEmpty() {
+        return crashes.isEmpty();
+    }
+
     /** Records a report, and returns the content to quarantine if there is any. */
     Optional<RequestFingerprint> crashed(ContentCrashReport report, Set<RequestFingerprint> known, long nowMillis) {
         dropOld(nowMillis);
@@ -95,7 +100,8 @@
         return success == null || crash.atMillis > success;
     }
 
-    private void dropOld(long nowMillis) {
+    /** Drops crashes that are too old to count. */
+    void dropOld(long nowMillis) {
         crashes.values().removeIf(crash -> nowMillis - crash.atMillis >= CRASH_TTL_MILLIS);
         removeOldest(crashes.keySet(), MAX_CRASHES);
     }
--- a/core/src/main/java/io/hornbeamscale/core/quarantine/QuarantineController.java
+++ b/core/src/main/java/io/hornbeamscale/core/quarantine/QuarantineController.java
@@ -55,9 +55,18 @@
     }
 
     /**
-     * Returns the quarantine status of a request.
+     * Returns whether nothing is quarantined or suspected.
      *
-     * @param fingerprint the fingerprint of the request, not null
+     * @return whether every request is clear
+     */
+    public boolean isIdle() {
+        return quarantineTable.all().isEmpty() && suspectTable.isEmpty() && contentTable.isEmpty();
+    }
+
+    /**
+     * Returns the quarantine status of a request or of content.
+     *
+     * @param fingerprint the fingerprint of the request or content, not null
      * @param nowMillis the present time
      * @return the status, never null
      */
@@ -175,6 +184,7 @@
      */
     public List<QuarantineAction> tick(long nowMillis) {
         quarantineTable.dropExpired(nowMillis + epochOffsetMillis);
+        contentTable.dropOld(nowMillis);
         if (pendingCall != null || nowMillis < nextReadMillis) {
             return List.of();
         }
--- a/core/src/main/java/io/hornbeamscale/core/quarantine/SuspectTable.java
+++ b/core/src/main/java/io/hornbeamscale/core/quarantine/SuspectTable.java
@@ -18,6 +18,10 @@
     private final Map<RequestFingerprint, SuspectEntry> suspects = new LinkedHashMap<>();
     private final Set<String> seenCrashes = new LinkedHashSet<>();
 
+    boolean isEmpty() {
+        return suspects.isEmpty();
+    }
+
     boolean isSuspect(RequestFingerprint fingerprint, long nowMillis) {
         SuspectEntry suspect = suspects.get(fingerprint);
         return suspect != null && nowMillis - suspect.sinceMillis() < SUSPECT_MILLIS;
--- a/gateway/src/main/java/io/hornbeamscale/gateway/CrashDetector.java
+++ b/gateway/src/main/java/io/hornbeamscale/gateway/CrashDetector.java
@@ -29,6 +29,12 @@
     /** How long broken connections to the same server are collected before it is probed, in milliseconds. */
     private static final long COLLECTION_MILLIS = 100;
 
+    /**
+     * How long no plain request that breaks off leads to another probe of a server that accepted one, in milliseconds; a
+     * faulty server may break off many.
+     */
+    private static final long PROBE_INTERVAL_MILLIS = 1_000;
+
     /** How long the server may take to accept a connection, in milliseconds. */
     private static final long CONNECT_TIMEOUT_MILLIS = 500;
 
@@ -43,6 +49,9 @@
     /** The requests whose connections broke, by incarnation of their server. */
     private final Map<String, List<BrokenRequest>> brokenRequests = new HashMap<>();
 
+    /** When plain requests that break off may lead to the next probe, by incarnation of their server. */
+    private final Map<String, Long> nextProbeMillis = new HashMap<>();
+
     CrashDetector(
             TrafficState traffic,
             QuarantineController controller,
@@ -65,8 +74,14 @@
         return new RequestFingerprint(TruncatedSha256.of(body, customer, request.method(), request.target()));
     }
 
-    /** Returns the fingerprints of the prompt parts that other requests may share; the last part is never shared. */
-    static List<RequestFingerprint> sharedParts(RelayRequest request) {
+    /**
+     * Returns what may crash the server that runs a request: for a generation the prompt parts that other requests may
+     * share, which the last part is not, and for a plain request the request itself.
+     */
+    static List<RequestFingerprint> content(RelayRequest request) {
+        if (!request.isGeneration()) {
+            return List.of(fingerprint(request));
+        }
         List<PromptPart> parts = request.head().promptParts();
         return parts.stream()
                 .limit(Math.max(0, parts.size() - 1))
@@ -76,18 +91,23 @@
 
     /** Returns whether a request is quarantined because it, or a part of its prompt, has crashed servers. */
     boolean isQuarantined(RelayRequest request, long nowMillis) {
+        if (controller.isIdle()) {
+            return false;
+        }
         return controller.check(fingerprint(request), nowMillis) == QuarantineStatus.QUARANTINED
-                || sharedParts(request).stream()
-                        .anyMatch(part -> controller.check(part, nowMillis) == QuarantineStatus.QUARANTINED);
+                || content(request).stream()
+                        .anyMatch(each -> controller.check(each, nowMillis) == QuarantineStatus.QUARANTINED);
     }
 
     /** Records that the connection to a server broke while it ran a request. */
-    void connectionBroke(FleetServer server, RelayRequest request, ResponseProgress progress) {
+    void connectionBroke(FleetServer server, RelayRequest request, ResponseProgress progress, long nowMillis) {
         boolean isReady = traffic.server(server.id()).map(FleetServer::isReady).orElse(false);
-        if (!isReady) {
+        String incarnation = server.id() + "/" + server.registration().startedAtMillis();
+        boolean isProbedLately =
+                !request.isGeneration() && nowMillis < nextProbeMillis.getOrDefault(incarnation, Long.MIN_VALUE);
+        if (!isReady || isProbedLately) {
             return;
         }
-        String incarnation = server.id() + "/" + server.registration().startedAtMillis();
         List<BrokenRequest> requests = brokenRequests.get(incarnation);
         if (requests != null) {
             requests.add(new BrokenRequest(request, progress));
@@ -101,13 +121,18 @@
 
     /** Records a response that has advanced, which clears the parts of the prompt of suspicion. */
     void advanced(RelayRequest request, long nowMillis) {
-        carryOut(controller.contentSucceeded(sharedParts(request), nowMillis));
+        carryOut(controller.contentSucceeded(content(request), nowMillis));
     }
 
     /** Records a complete response, which clears the request and the parts of its prompt of suspicion. */
     void completed(RelayRequest request, long nowMillis) {
-        carryOut(controller.completed(fingerprint(request), nowMillis));
-        advanced(request, nowMillis);
+        if (request.isGeneration()) {
+            carryOut(controller.completed(fingerprint(request), nowMillis));
+            advanced(request, nowMillis);
+        } else if (!controller.isIdle()) {
+            // Most plain requests are never suspected, and a digest of each body costs processor time.
+            advanced(request, nowMillis);
+        }
     }
 
     /** Handles quarantine news of another entry. */
@@ -126,12 +151,15 @@
     private void check(FleetServer server, String incarnation) {
         traffic.client().probe(server.registration().address(), CONNECT_TIMEOUT_MILLIS, isOpen -> {
             List<BrokenRequest> requests = brokenRequests.remove(incarnation);
-            if (isOpen || requests == null) {
-                return;
+            long now = ControlLoop.now();
+            if (isOpen) {
+                nextProbeMillis.values().removeIf(at -> at <= now);
+                nextProbeMillis.put(incarnation, now + PROBE_INTERVAL_MILLIS);
+            } else if (requests != null) {
+                traffic.log().crashSeen(server.id(), requests.size());
+                traffic.metrics().count("crashes");
+                report(server.id(), incarnation, requests, now);
             }
-            traffic.log().crashSeen(server.id(), requests.size());
-            traffic.metrics().count("crashes");
-            report(server.id(), incarnation, requests, ControlLoop.now());
         });
     }
 
@@ -142,15 +170,19 @@
         for (BrokenRequest broken : requests) {
             RequestFingerprint fingerprint = fingerprint(broken.request());
             traffic.log().inFlightAtCrash(broken.request(), server, fingerprint.digest(), broken.progress());
-            inFlight.add(fingerprint);
+            if (broken.request().isGeneration()) {
+                inFlight.add(fingerprint);
+            }
             // Content crashes an engine before the response advances.
             if (broken.progress() == ResponseProgress.BEGUN) {
-                begun.addAll(sharedParts(broken.request()));
+                begun.addAll(content(broken.request()));
             } else if (broken.progress() == ResponseProgress.WAITING) {
-                waiting.addAll(sharedParts(broken.request()));
+                waiting.addAll(content(broken.request()));
             }
         }
-        carryOut(controller.crashed(new CrashReport(incarnation, inFlight), nowMillis));
+        if (!inFlight.isEmpty()) {
+            carryOut(controller.crashed(new CrashReport(incarnation, inFlight), nowMillis));
+        }
         if (!begun.isEmpty() || !waiting.isEmpty()) {
             carryOut(controller.contentCrashed(new ContentCrashReport(incarnation, begun, waiting), nowMillis));
         }
--- a/gateway/src/main/java/io/hornbeamscale/gateway/GatewayHandler.java
+++ b/gateway/src/main/java/io/hornbeamscale/gateway/GatewayHandler.java
@@ -2,7 +2,6 @@
 
 import io.hornbeamscale.core.error.ErrorKind;
 import io.hornbeamscale.core.route.Customer;
-import io.hornbeamscale.core.route.RequestKind;
 import io.hornbeamscale.core.route.Route;
 import io.hornbeamscale.core.route.RouteDocument;
 import io.hornbeamscale.core.route.RoutedService;
@@ -151,16 +150,15 @@
         if (stopPolicy.isStopping()) {
             exchange.setPersistent(false);
         }
-        boolean isStream = route.kind() == RequestKind.STREAMING
-                && request.service().engine().isPresent();
-        if (isStream && traffic.crashDetector().isQuarantined(request, arrivedAtMillis)) {
+        if (traffic.crashDetector().isQuarantined(request, arrivedAtMillis)) {
             refuse(exchange, head, ErrorKind.REQUEST_QUARANTINED, -1, "the request has crashed servers");
             return;
         }
         exchange.dispatch(SameThreadExecutor.INSTANCE, () -> {
             CallerDisconnectDetector.start(exchange);
-            Relay relay =
-                    isStream ? new StreamRelay(traffic, exchange, request) : new PlainRelay(traffic, exchange, request);
+            Relay relay = request.isGeneration()
+                    ? new StreamRelay(traffic, exchange, request)
+                    : new PlainRelay(traffic, exchange, request);
             relay.begin(ControlLoop.now());
         });
     }
--- a/gateway/src/main/java/io/hornbeamscale/gateway/PlainRelay.java
+++ b/gateway/src/main/java/io/hornbeamscale/gateway/PlainRelay.java
@@ -72,10 +72,25 @@
 
     @Override
     void endIfQuarantined(long nowMillis) {
-        // Only generations are quarantined.
+        if (!isEnded() && traffic().crashDetector().isQuarantined(request(), nowMillis)) {
+            failAsQuarantined();
+        }
+    }
+
+    private void failAsQuarantined() {
+        String why = "the request has crashed servers";
+        if (runs > 0) {
+            fail(ErrorKind.OUTCOME_UNKNOWN, -1, why);
+        } else {
+            fail(ErrorKind.REQUEST_QUARANTINED, -1, why);
+        }
     }
 
     private void send(long nowMillis) {
+        if (traffic().crashDetector().isQuarantined(request(), nowMillis)) {
+            failAsQuarantined();
+            return;
+        }
         List<FleetServer> servers = traffic().fleet().ready(request().service().name());
         Optional<FleetServer> chosen = traffic()
                 .plainPlacement()
@@ -223,6 +238,7 @@
             } else if (REFUSAL_STATUSES.contains(status)) {
                 fail(ErrorKind.OUTCOME_UNKNOWN, -1, "status " + status + " without a statement that it has not run");
             } else {
+                traffic().crashDetector().completed(request(), now);
                 forwardResponse(status, headers, body.toByteArray(), "server " + server.id());
             }
         }
@@ -245,6 +261,8 @@
                 return;
             }
             traffic().health().failed(server.id(), now);
+            ResponseProgress progress = headers == null ? ResponseProgress.WAITING : ResponseProgress.BEGUN;
+            traffic().crashDetector().connectionBroke(server, request(), progress, now);
             broken(now, reason);
         }
 
--- a/gateway/src/main/java/io/hornbeamscale/gateway/RelayRequest.java
+++ b/gateway/src/main/java/io/hornbeamscale/gateway/RelayRequest.java
@@ -2,6 +2,7 @@
 
 import io.hornbeamscale.core.placement.GenerationSize;
 import io.hornbeamscale.core.route.Customer;
+import io.hornbeamscale.core.route.RequestKind;
 import io.hornbeamscale.core.route.Route;
 import io.hornbeamscale.core.route.RoutedService;
 import io.undertow.util.HeaderMap;
@@ -48,6 +49,11 @@
         return head.requestId().orElse("-");
     }
 
+    /** Returns whether an engine generates the response as a stream. */
+    boolean isGeneration() {
+        return route.kind() == RequestKind.STREAMING && service.engine().isPresent();
+    }
+
     /** Returns the time left until the deadline, in milliseconds, negative after it. */
     long remainingMillis(long nowMillis) {
         return deadlineMillis - nowMillis;
--- a/gateway/src/main/java/io/hornbeamscale/gateway/StreamRelay.java
+++ b/gateway/src/main/java/io/hornbeamscale/gateway/StreamRelay.java
@@ -254,7 +254,8 @@
             handOverFailed(from, why);
             return;
         }
-        traffic().crashDetector().connectionBroke(from.server(), request(), progress(from, ControlLoop.now()));
+        long now = ControlLoop.now();
+        traffic().crashDetector().connectionBroke(from.server(), request(), progress(from, now), now);
         if (next != null) {
             // The second server continues the stream, or its hand-over times out.
             return;
