Keep within the request rate that a server names

What callers and servers saw: a server short of capacity names in its responses how many requests a second it takes from all entries, and got several times as many. Cause: the header was not read. Requests went to the server by load and health alone, on the plain path as well as for generations, repeats, moves and continued streams. Change: each entry keeps its share of the rate, one request at a time and without a burst after a pause. Shares follow from the entries' names and the server's id, so that their sum is bounded without messages; in a large fleet a few entries share the rate and the others try rarely. Plain requests wait for their turn or are refused at once with the time of the next one; generations go to other servers or wait at the entry; moves avoid a server whose turn has not come. The limit ends with the first success without it, of a request sent after the last response that named it. Each change is a log line.

--- a/core/src/main/java/io/hornbeamscale/core/placement/GenerationPlacement.java
+++ b/core/src/main/java/io/hornbeamscale/core/placement/GenerationPlacement.java
@@ -1,6 +1,7 @@
 package io.hornbeamscale.core.placement;
 
 import io.hornbeamscale.core.fleet.FleetServer;
+import io.hornbeamscale.core.limit.ServerRateLimits;
 import io.hornbeamscale.core.route.EngineSpec;
 import java.util.Collection;
 import java.util.Map;
@@ -100,6 +101,7 @@
     private final HealthTracker health;
     private final EventIntervalTracker intervals;
     private final CopyLinkSchedule links;
+    private final ServerRateLimits limits;
     private final String zone;
     private final Map<String, String> regions;
 
@@ -110,6 +112,7 @@
      * @param health the health of the servers, not null
      * @param intervals the time per event of the servers, not null
      * @param links the schedule of state copies between servers, not null
+     * @param limits the request rates that the servers name, not null
      * @param zone the zone of this entry, not null
      * @param regions the region names by zone name, not null
      */
@@ -118,12 +121,14 @@
             HealthTracker health,
             EventIntervalTracker intervals,
             CopyLinkSchedule links,
+            ServerRateLimits limits,
             String zone,
             Map<String, String> regions) {
         this.loads = loads;
         this.health = health;
         this.intervals = intervals;
         this.links = links;
+        this.limits = limits;
         this.zone = zone;
         this.regions = Map.copyOf(regions);
     }
@@ -137,7 +142,7 @@
      * @param excluded the ids of servers that must not be chosen, not null
      * @param nowMillis the present time
      * @param random the source of random costs, not null
-     * @return the server, empty if no usable server has room
+     * @return the server, empty if no usable server has room and takes a request now
      */
     public Optional<FleetServer> choose(
             Collection<FleetServer> servers,
@@ -148,7 +153,7 @@
             RandomGenerator random) {
         return cheapest(servers, excluded, nowMillis, random, server -> {
             ServerLoad load = loads.of(server.id(), nowMillis);
-            return hasRoom(load, engine, size)
+            return hasRoom(load, engine, size) && isWithinLimit(server, nowMillis)
                     ? cost(server, load, zone)
                             + slowdownCost(server, servers, size)
                             + strandedCost(server, servers, engine, size, nowMillis)
@@ -180,7 +185,7 @@
         double queuedCopies = loads.of(source.id(), nowMillis).requests() * QUEUED_COPY_SHARE;
         return cheapest(servers, excluded, nowMillis, random, server -> {
             ServerLoad load = loads.of(server.id(), nowMillis);
-            return load.requests() < engine.slots() && isSameRegion(server, source)
+            return load.requests() < engine.slots() && isSameRegion(server, source) && isWithinLimit(server, nowMillis)
                     ? cost(server, load, source.registration().zone())
                             + slowdownCost(server, servers, size)
                             + copyCost(server, source, engine, size, nowMillis)
@@ -245,6 +250,10 @@
         return Optional.ofNullable(best);
     }
 
+    private boolean isWithinLimit(FleetServer server, long nowMillis) {
+        return limits.waitMillis(server.id(), nowMillis) == 0;
+    }
+
     /**
      * Returns whether two servers are in one region. State is not copied between regions: their link carries about 20
      * Mbit/s in total, and the state of one generation has several Gbit.
--- a/core/src/main/java/io/hornbeamscale/core/placement/PlainPlacement.java
+++ b/core/src/main/java/io/hornbeamscale/core/placement/PlainPlacement.java
@@ -1,6 +1,7 @@
 package io.hornbeamscale.core.placement;
 
 import io.hornbeamscale.core.fleet.FleetServer;
+import io.hornbeamscale.core.limit.ServerRateLimits;
 import java.util.Collection;
 import java.util.Map;
 import java.util.Optional;
@@ -33,6 +34,7 @@
 
     private final LoadTracker loads;
     private final HealthTracker health;
+    private final ServerRateLimits limits;
     private final String zone;
     private final Map<String, String> regions;
 
@@ -41,18 +43,26 @@
      *
      * @param loads the load of the servers, not null
      * @param health the health of the servers, not null
+     * @param limits the request rates that the servers name, not null
      * @param zone the zone of this entry, not null
      * @param regions the region names by zone name, not null
      */
-    public PlainPlacement(LoadTracker loads, HealthTracker health, String zone, Map<String, String> regions) {
+    public PlainPlacement(
+            LoadTracker loads,
+            HealthTracker health,
+            ServerRateLimits limits,
+            String zone,
+            Map<String, String> regions) {
         this.loads = loads;
         this.health = health;
+        this.limits = limits;
         this.zone = zone;
         this.regions = Map.copyOf(regions);
     }
 
     /**
-     * Chooses a server. Ejected servers are chosen only if there is no other.
+     * Chooses a server. Ejected servers are chosen only if there is no other. The request may have to wait for the
+     * limit of the server.
      *
      * @param servers the servers that take requests, not null
      * @param excluded the ids of servers that must not be chosen, not null
@@ -86,6 +96,7 @@
         double work = health.responseMillis(server.id(), DEFAULT_RESPONSE_MILLIS);
         double cost = work * (1 + Math.max(0.0, requests + 1 - slots) / slots) + work * requests / (4.0 * slots);
         cost += health.failureRate(server.id()) * FAILURE_COST_MILLIS;
+        cost += limits.waitMillis(server.id(), nowMillis);
         return switch (ZoneDistance.between(zone, server.registration().zone(), regions)) {
             case SAME_ZONE -> cost;
             case SAME_REGION -> cost + OTHER_ZONE_COST_MILLIS;
--- a/core/src/test/java/io/hornbeamscale/core/placement/GenerationPlacementTest.java
+++ b/core/src/test/java/io/hornbeamscale/core/placement/GenerationPlacementTest.java
@@ -8,6 +8,7 @@
 import io.hornbeamscale.core.fleet.FleetServer;
 import io.hornbeamscale.core.fleet.ServerRegistration;
 import io.hornbeamscale.core.fleet.ServerState;
+import io.hornbeamscale.core.limit.ServerRateLimits;
 import io.hornbeamscale.core.route.EngineSpec;
 import java.util.HashMap;
 import java.util.List;
@@ -29,8 +30,9 @@
     private final HealthTracker health = new HealthTracker();
     private final EventIntervalTracker intervals = new EventIntervalTracker();
     private final CopyLinkSchedule links = new CopyLinkSchedule();
+    private final ServerRateLimits limits = new ServerRateLimits("entry");
     private final GenerationPlacement placement =
-            new GenerationPlacement(loads, health, intervals, links, "z1", REGIONS);
+            new GenerationPlacement(loads, health, intervals, links, limits, "z1", REGIONS);
     private final Random random = new Random(3);
 
     private static FleetServer server(String id, String zone) {
--- a/core/src/test/java/io/hornbeamscale/core/placement/PlainPlacementTest.java
+++ b/core/src/test/java/io/hornbeamscale/core/placement/PlainPlacementTest.java
@@ -6,6 +6,7 @@
 import io.hornbeamscale.core.fleet.FleetServer;
 import io.hornbeamscale.core.fleet.ServerRegistration;
 import io.hornbeamscale.core.fleet.ServerState;
+import io.hornbeamscale.core.limit.ServerRateLimits;
 import java.util.List;
 import java.util.Map;
 import java.util.Random;
@@ -17,8 +18,9 @@
 class PlainPlacementTest {
     private final LoadTracker loads = new LoadTracker();
     private final HealthTracker health = new HealthTracker();
+    private final ServerRateLimits limits = new ServerRateLimits("entry");
     private final PlainPlacement placement =
-            new PlainPlacement(loads, health, "z1", Map.of("z1", "r1", "z2", "r1", "z3", "r2"));
+            new PlainPlacement(loads, health, limits, "z1", Map.of("z1", "r1", "z2", "r1", "z3", "r2"));
     private final Random random = new Random(3);
 
     private static FleetServer server(String id, String zone) {
--- a/gateway/src/main/java/io/hornbeamscale/gateway/BackendResponseHead.java
+++ b/gateway/src/main/java/io/hornbeamscale/gateway/BackendResponseHead.java
@@ -1,6 +1,7 @@
 package io.hornbeamscale.gateway;
 
 import java.util.Optional;
+import java.util.OptionalDouble;
 
 /**
  * The decoded headers of a backend server's response.
@@ -10,10 +11,12 @@
  * @param hasSignature whether the response has the server's signature
  * @param serverId the id of the server, empty if it is missing
  * @param idleTimeoutMillis how long the server keeps an idle connection, in milliseconds, 0 if unknown
+ * @param requestLimit how many requests a second the server takes from all entries together, empty if it names no limit
  */
 public record BackendResponseHead(
         Optional<String> requestId,
         boolean isNotRun,
         boolean hasSignature,
         Optional<String> serverId,
-        long idleTimeoutMillis) {}
+        long idleTimeoutMillis,
+        OptionalDouble requestLimit) {}
--- a/gateway/src/main/java/io/hornbeamscale/gateway/CrashDetector.java
+++ b/gateway/src/main/java/io/hornbeamscale/gateway/CrashDetector.java
@@ -30,8 +30,8 @@
     private static final long COLLECTION_MILLIS = 100;
 
     /**
-     * How long no plain request that breaks off leads to another probe of a server that accepted one, in milliseconds; a
-     * faulty server may break off many.
+     * How long no plain request that breaks off leads to another probe of a server that accepted one, in milliseconds;
+     * a faulty server may break off many.
      */
     private static final long PROBE_INTERVAL_MILLIS = 1_000;
 
--- a/gateway/src/main/java/io/hornbeamscale/gateway/DecisionLog.java
+++ b/gateway/src/main/java/io/hornbeamscale/gateway/DecisionLog.java
@@ -4,6 +4,7 @@
 import io.hornbeamscale.core.placement.ServerLoad;
 import java.util.HashMap;
 import java.util.Map;
+import java.util.OptionalDouble;
 import java.util.stream.Collectors;
 import org.apache.logging.log4j.LogManager;
 import org.apache.logging.log4j.Logger;
@@ -141,6 +142,22 @@
         }
     }
 
+    /**
+     * Logs that a server's limit is new, has changed or has ended.
+     *
+     * @param named the rate that the server takes from all entries, in requests per second, empty if the limit ended
+     * @param share the share of this entry, in requests per second
+     */
+    void limitChanged(String server, OptionalDouble named, double share) {
+        if (isAllowed("limit")) {
+            fleet.info(new Line()
+                    .with("event", "limit")
+                    .with("server", server)
+                    .with("requestsPerSecond", named.isPresent() ? Double.toString(named.getAsDouble()) : "none")
+                    .with("share", Double.toString(share)));
+        }
+    }
+
     /** Logs a change in the known state of a backend server. */
     void serverEvent(String id, String state, String source, long revision) {
         if (isAllowed("server")) {
--- a/gateway/src/main/java/io/hornbeamscale/gateway/Gateway.java
+++ b/gateway/src/main/java/io/hornbeamscale/gateway/Gateway.java
@@ -364,8 +364,11 @@
             } else {
                 peers.remove(name);
             }
-            int entries = peers.size() + 1;
-            thread.execute(() -> traffic.repeats().setEntries(entries));
+            Set<String> others = peers.names();
+            thread.execute(() -> {
+                traffic.repeats().setEntries(others.size() + 1);
+                traffic.limits().setOtherEntries(others);
+            });
         }
 
         @Override
--- a/gateway/src/main/java/io/hornbeamscale/gateway/PeerConnections.java
+++ b/gateway/src/main/java/io/hornbeamscale/gateway/PeerConnections.java
@@ -16,6 +16,7 @@
 import java.util.ArrayList;
 import java.util.HashMap;
 import java.util.Map;
+import java.util.Set;
 import java.util.function.Consumer;
 
 /**
@@ -73,6 +74,11 @@
         }
     }
 
+    /** Returns the names of the other entries that are known. */
+    Set<String> names() {
+        return Set.copyOf(outgoing.keySet());
+    }
+
     /** Returns the number of other entries that are known. */
     int size() {
         return outgoing.size();
--- a/gateway/src/main/java/io/hornbeamscale/gateway/PlainRelay.java
+++ b/gateway/src/main/java/io/hornbeamscale/gateway/PlainRelay.java
@@ -33,6 +33,9 @@
      */
     private static final double ATTEMPT_TIME_SHARE = 0.45;
 
+    /** The share of the remaining time that a request may wait for the limit of a server; the rest is needed to run. */
+    private static final double MAX_LIMIT_WAIT_SHARE = 0.4;
+
     private static final long CONNECT_TIMEOUT_MILLIS = 400;
     private static final long RETRY_AFTER_MILLIS = 300;
 
@@ -107,7 +110,40 @@
             }
             return;
         }
-        attempt = new Attempt(chosen.get(), nowMillis);
+        FleetServer server = chosen.get();
+        long wait = traffic().limits().waitMillis(server.id(), nowMillis);
+        if (!isWaitAcceptable(server, nowMillis)) {
+            if (runs > 0) {
+                fail(ErrorKind.OUTCOME_UNKNOWN, -1, "the limits of all servers defer the repeat for too long");
+            } else {
+                fail(ErrorKind.OVERLOADED, wait, "the limits of all servers defer the request for too long");
+            }
+            return;
+        }
+        traffic().limits().take(server.id(), nowMillis);
+        if (wait == 0) {
+            begin(server, nowMillis);
+        } else {
+            traffic().thread().executeAfter(() -> beginDeferred(server), wait, TimeUnit.MILLISECONDS);
+        }
+    }
+
+    private void beginDeferred(FleetServer server) {
+        if (isEnded()) {
+            return;
+        }
+        long now = ControlLoop.now();
+        boolean isReady =
+                traffic().server(server.id()).map(FleetServer::isReady).orElse(false);
+        if (isReady && traffic().health().isUsable(server.id(), now)) {
+            begin(server, now);
+        } else {
+            send(now);
+        }
+    }
+
+    private void begin(FleetServer server, long nowMillis) {
+        attempt = new Attempt(server, nowMillis);
         attempt.begin(nowMillis);
     }
 
@@ -133,9 +169,15 @@
                         tried,
                         nowMillis,
                         traffic().random())
+                .filter(server -> isWaitAcceptable(server, nowMillis))
                 .isPresent();
     }
 
+    private boolean isWaitAcceptable(FleetServer server, long nowMillis) {
+        return traffic().limits().waitMillis(server.id(), nowMillis)
+                <= MAX_LIMIT_WAIT_SHARE * request().remainingMillis(nowMillis);
+    }
+
     /** One attempt at one server. */
     private final class Attempt implements BackendExchange.Listener {
         private final FleetServer server;
@@ -201,6 +243,7 @@
             headers = found;
             head = traffic().codec().decodeBackendResponse(code, found);
             exchange.setServerIdleTimeout(head.idleTimeoutMillis());
+            traffic().responded(server.id(), code, head, sentAtMillis, ControlLoop.now());
             if (!head.requestId().equals(request().head().requestId())) {
                 exchange.cancel();
                 failed(BackendExchange.Failure.BROKEN, "the response belongs to another request");
--- a/gateway/src/main/java/io/hornbeamscale/gateway/StreamAttempt.java
+++ b/gateway/src/main/java/io/hornbeamscale/gateway/StreamAttempt.java
@@ -161,6 +161,7 @@
         BackendResponseHead head = relay.traffic().codec().decodeBackendResponse(code, found);
         exchange.setServerIdleTimeout(head.idleTimeoutMillis());
         isNotRun = head.isNotRun();
+        relay.traffic().responded(server.id(), code, head, sentAtMillis, ControlLoop.now());
         if (!head.requestId().equals(relay.request().head().requestId())) {
             exchange.cancel();
             failed(BackendExchange.Failure.BROKEN, "the response belongs to another request");
--- a/gateway/src/main/java/io/hornbeamscale/gateway/StreamMove.java
+++ b/gateway/src/main/java/io/hornbeamscale/gateway/StreamMove.java
@@ -90,6 +90,7 @@
             return;
         }
         target = chosen.get();
+        relay.traffic().limits().take(target.id(), nowMillis);
         reserved = relay.size().loadAfter(source.lastId() * relay.engine().tokensPerEvent());
         relay.traffic().placed(target.id(), reserved);
         boolean isSameZone = target.registration()
--- a/gateway/src/main/java/io/hornbeamscale/gateway/StreamRelay.java
+++ b/gateway/src/main/java/io/hornbeamscale/gateway/StreamRelay.java
@@ -29,6 +29,11 @@
      */
     private static final long HAND_OVER_TIMEOUT_MILLIS = 4_000;
 
+    /** How long a broken stream may wait for the limit of the server with its backup, in milliseconds. */
+    private static final long MAX_CONTINUATION_WAIT_MILLIS = 1_500;
+
+    private static final double MILLIS_PER_SECOND = 1_000;
+
     /** The expected length of a response from which on its state is backed up while it runs, in tokens. */
     private static final long MIN_BACKUP_TOKENS = 100;
 
@@ -114,6 +119,7 @@
             return false;
         }
         sends++;
+        traffic().limits().take(chosen.get().id(), now);
         current = new StreamAttempt(this, chosen.get(), Optional.empty(), backupFor(chosen.get(), now), lastId);
         current.begin(now);
         return true;
@@ -264,7 +270,7 @@
         // A stream without events may have crashed its server, and would crash the next one.
         if (copy.isPresent() && firstEventMillis >= 0) {
             traffic().log().repeated(request(), from.server(), why);
-            handOver(copy.get(), copy.get().registration().address(), request().id());
+            continueFromBackup(copy.get());
         } else {
             failAsLost(why);
         }
@@ -301,13 +307,32 @@
             return;
         }
         Optional<FleetServer> copy = usableBackup();
-        if (copy.isPresent()) {
-            handOver(copy.get(), copy.get().registration().address(), request().id());
+        boolean isWithinLimit =
+                copy.isPresent() && traffic().limits().waitMillis(copy.get().id(), ControlLoop.now()) == 0;
+        if (isWithinLimit) {
+            continueFromBackup(copy.get());
         } else {
             startMove();
         }
     }
 
+    /** Continues the stream at the server with the backup, once the limit of that server allows it. */
+    private void continueFromBackup(FleetServer copy) {
+        long now = ControlLoop.now();
+        long wait = traffic().limits().waitMillis(copy.id(), now);
+        if (wait > MAX_CONTINUATION_WAIT_MILLIS) {
+            failAsLost("server " + copy.id() + " with the backup takes no request within its limit");
+            return;
+        }
+        traffic().limits().take(copy.id(), now);
+        Endpoint address = copy.registration().address();
+        if (wait == 0) {
+            handOver(copy, address, request().id());
+        } else {
+            after(wait, () -> handOver(copy, address, request().id()));
+        }
+    }
+
     private void startMove() {
         if (engine().canMove()) {
             move = new StreamMove(this, current);
@@ -370,6 +395,11 @@
                 request().route().objectiveMillis(),
                 request().deadlineMillis());
         int ahead = traffic().waitingStreams().size();
+        long limitWait = limitWaitMillis(ahead);
+        if (limitWait > PlacementQueue.maxWaitMillis(need, nowMillis)) {
+            fail(ErrorKind.OVERLOADED, limitWait, "the limits of all servers defer the request for too long");
+            return;
+        }
         Optional<Long> retryAfterMillis =
                 traffic().waitingStreams().offer(this, need, servers().size(), nowMillis);
         if (retryAfterMillis.isPresent()) {
@@ -379,6 +409,7 @@
         traffic().metrics().count("waited");
         long limit = PlacementQueue.maxWaitMillis(need, nowMillis);
         traffic().log().waits(request(), servers().size(), ahead, limit);
+        traffic().placeWaitingAfterLimits();
         after(limit, () -> {
             if (current == null) {
                 fail(ErrorKind.OVERLOADED, RETRY_AFTER_MILLIS, "no server had room in time");
@@ -386,6 +417,14 @@
         });
     }
 
+    /** Returns the expected wait behind other streams for the limits of the servers, 0 if one names no limit. */
+    private long limitWaitMillis(int ahead) {
+        double rate = servers().stream()
+                .mapToDouble(server -> traffic().limits().requestsPerSecond(server.id()))
+                .sum();
+        return rate > 0 ? (long) (ahead * MILLIS_PER_SECOND / rate) : 0;
+    }
+
     private void after(long millis, Runnable task) {
         traffic()
                 .thread()
--- a/gateway/src/main/java/io/hornbeamscale/gateway/TrafficState.java
+++ b/gateway/src/main/java/io/hornbeamscale/gateway/TrafficState.java
@@ -4,6 +4,7 @@
 import io.hornbeamscale.core.fleet.Endpoint;
 import io.hornbeamscale.core.fleet.FleetServer;
 import io.hornbeamscale.core.fleet.FleetSnapshot;
+import io.hornbeamscale.core.limit.ServerRateLimits;
 import io.hornbeamscale.core.limit.WindowedRetryBudget;
 import io.hornbeamscale.core.placement.CopyLinkSchedule;
 import io.hornbeamscale.core.placement.EventIntervalTracker;
@@ -36,6 +37,8 @@
      */
     private static final long STATUS_DELAY_MILLIS = 10;
 
+    private static final int STATUS_REDIRECT = 300;
+
     private final XnioIoThread thread;
     private final Blackboard blackboard;
     private final ExchangeCodec codec;
@@ -48,6 +51,7 @@
     private final HealthTracker health = new HealthTracker();
     private final EventIntervalTracker pace = new EventIntervalTracker();
     private final CopyLinkSchedule copyLinks = new CopyLinkSchedule();
+    private final ServerRateLimits limits;
     private final GenerationPlacement generationPlacement;
     private final PlainPlacement plainPlacement;
     private final WindowedRetryBudget repeats;
@@ -57,6 +61,7 @@
     private CrashDetector crashDetector;
     private Runnable statusSender = () -> {};
     private boolean isStatusDue;
+    private boolean isPlacementScheduled;
 
     TrafficState(
             XnioIoThread thread,
@@ -75,9 +80,10 @@
         this.metrics = metrics;
         this.log = log;
         this.random = random;
+        limits = new ServerRateLimits(settings.node());
         generationPlacement =
-                new GenerationPlacement(loads, health, pace, copyLinks, settings.zone(), settings.regions());
-        plainPlacement = new PlainPlacement(loads, health, settings.zone(), settings.regions());
+                new GenerationPlacement(loads, health, pace, copyLinks, limits, settings.zone(), settings.regions());
+        plainPlacement = new PlainPlacement(loads, health, limits, settings.zone(), settings.regions());
         repeats =
                 new WindowedRetryBudget(settings.repeatRatio(), settings.repeatWindowMillis(), settings.repeatSlack());
     }
@@ -126,6 +132,19 @@
         return copyLinks;
     }
 
+    ServerRateLimits limits() {
+        return limits;
+    }
+
+    /** Handles the head of a server's response to a request, which may name a limit. */
+    void responded(String server, int status, BackendResponseHead head, long sentAtMillis, long nowMillis) {
+        boolean isSuccess = status < STATUS_REDIRECT && head.hasSignature() && !head.isNotRun();
+        if (limits.responded(server, head.requestLimit(), isSuccess, sentAtMillis, nowMillis)) {
+            log.limitChanged(server, head.requestLimit(), limits.requestsPerSecond(server));
+            thread.execute(this::placeWaiting);
+        }
+    }
+
     GenerationPlacement generationPlacement() {
         return generationPlacement;
     }
@@ -216,6 +235,24 @@
                 waitingStreams.remove(stream);
             }
         }
+        placeWaitingAfterLimits();
+    }
+
+    /** Schedules the placement of waiting streams for when a server's limit allows the next request. */
+    void placeWaitingAfterLimits() {
+        if (waitingStreams.isEmpty() || isPlacementScheduled) {
+            return;
+        }
+        limits.earliestWaitMillis(ControlLoop.now()).ifPresent(wait -> {
+            isPlacementScheduled = true;
+            thread.executeAfter(
+                    () -> {
+                        isPlacementScheduled = false;
+                        placeWaiting();
+                    },
+                    wait,
+                    TimeUnit.MILLISECONDS);
+        });
     }
 
     /**
@@ -241,6 +278,7 @@
                 health.forget(id);
                 pace.forget(id);
                 copyLinks.forget(id);
+                limits.forget(id);
             }
             return isGone;
         });
