Expect waits for named rates, and let their shares overlap a little

Cause: the expected wait counted each server as a whole, also one that takes one request a second, so requests waited that could not be served. And entries with little demand left parts of the rate unused. Change: a limited server counts by the prompts that its limit lets this entry send, so requests are refused at once with the time to return. The shares add up to 1.25 of the rate; the number of entries that share and the rate of the others' tries are lower, so that the bound still holds.

--- a/core/src/main/java/io/hornbeamscale/core/limit/ServerRateLimits.java
+++ b/core/src/main/java/io/hornbeamscale/core/limit/ServerRateLimits.java
@@ -22,13 +22,21 @@
     private static final double MIN_REQUESTS_PER_SECOND = 0.1;
 
     /**
-     * The number of entries that share a limit, besides one for each request per second. Each of them may send one
+     * The number of entries that share a limit, besides one for each two requests per second. Each of them may send one
      * request at any time after a pause, so the number bounds the excess over the rate.
      */
-    private static final int EXTRA_SHARERS = 3;
+    private static final int EXTRA_SHARERS = 4;
+
+    private static final double SHARERS_PER_REQUEST_PER_SECOND = 0.5;
+
+    /**
+     * The sum of the shares of the entries that share a limit, as a multiple of it. Their demand differs, so that not
+     * every one uses its whole share.
+     */
+    private static final double SHARES_SUM = 1.25;
 
     /** The share of a limit that all other entries use together to learn whether it still holds. */
-    private static final double PROBING_SHARE = 0.25;
+    private static final double PROBING_SHARE = 0.05;
 
     private static final double MILLIS_PER_SECOND = 1_000;
 
@@ -159,13 +167,14 @@
     }
 
     private int sharers(double requestsPerSecond) {
-        return (int) Math.min(entries.size(), Math.floor(requestsPerSecond) + EXTRA_SHARERS);
+        return (int) Math.min(
+                entries.size(), Math.floor(SHARERS_PER_REQUEST_PER_SECOND * requestsPerSecond) + EXTRA_SHARERS);
     }
 
     private long intervalMillis(double requestsPerSecond, int rank) {
         int sharers = sharers(requestsPerSecond);
         double seconds = rank < sharers
-                ? sharers / requestsPerSecond
+                ? sharers / ((sharers > 1 ? SHARES_SUM : 1) * requestsPerSecond)
                 : (entries.size() - sharers) / (PROBING_SHARE * requestsPerSecond);
         return Math.max(1, (long) Math.ceil(seconds * MILLIS_PER_SECOND));
     }
--- a/core/src/main/java/io/hornbeamscale/core/placement/PlacementQueue.java
+++ b/core/src/main/java/io/hornbeamscale/core/placement/PlacementQueue.java
@@ -19,7 +19,7 @@
     static final long MILLIS_PER_PRIORITY = 300;
 
     /** The prompt tokens that one server processes per millisecond while it also generates responses. */
-    static final double PREFILL_TOKENS_PER_MILLI = 7;
+    public static final double PREFILL_TOKENS_PER_MILLI = 7;
 
     /** The maximum wait as a share of the time until the deadline; the rest is needed for the response. */
     private static final double MAX_WAIT_DEADLINE_SHARE = 0.4;
@@ -37,12 +37,12 @@
      *
      * @param request the request, not null
      * @param requirements the requirements of the request, not null
-     * @param servers the number of servers that take requests
+     * @param servers the number of servers that take requests, in which a server with a request limit counts as a part
      * @param nowMillis the present time
      * @return empty if the request was added, otherwise the expected wait after which it may be retried, in
      *     milliseconds
      */
-    public Optional<Long> offer(T request, Requirements requirements, int servers, long nowMillis) {
+    public Optional<Long> offer(T request, Requirements requirements, double servers, long nowMillis) {
         Arguments.notNull(request, "request");
         long expected = expectedWaitMillis(requirements, servers);
         if (expected > maxWaitMillis(requirements, nowMillis)) {
@@ -106,14 +106,14 @@
         return waiting.stream().map(w -> w.request).toList();
     }
 
-    private long expectedWaitMillis(Requirements requirements, int servers) {
+    private long expectedWaitMillis(Requirements requirements, double servers) {
         long tokens = 0;
         for (QueuedRequest<T> each : waiting) {
             if (!isBefore(requirements, each.requirements)) {
                 tokens += each.requirements.promptTokens();
             }
         }
-        return (long) (tokens / (PREFILL_TOKENS_PER_MILLI * Math.max(1, servers)));
+        return (long) (tokens / (PREFILL_TOKENS_PER_MILLI * (servers > 0 ? servers : 1)));
     }
 
     private static boolean isBefore(Requirements a, Requirements b) {
--- a/core/src/test/java/io/hornbeamscale/core/placement/PlacementQueueTest.java
+++ b/core/src/test/java/io/hornbeamscale/core/placement/PlacementQueueTest.java
@@ -52,6 +52,12 @@
 
     @Nested
     class Refusal {
+        @Test
+        void comesEarlierIfALimitLeavesPartOfAServer() {
+            queue.offer("first", requirements(0, 0), 0.125, 0);
+            assertEquals(Optional.of(3_200L), queue.offer("second", requirements(0, 0), 0.125, 0));
+        }
+
         /** One server processes 7 prompt tokens per millisecond, so each of these requests takes 400 ms. */
         @Test
         void comesAtOnceIfTheQueueIsTooLong() {
