Split prompts at blank lines only, also with carriage returns

Cause: in Java, a line-break matcher followed by another one may split a carriage return from its line feed, so each line of such a prompt would be a passage. Found by reading the diff. Change: a passage ends at two line feeds with white space between; PromptPassagesTest has the case.

--- a/daemon/src/main/java/io/hornbeamscale/daemon/PromptPassages.java
+++ b/daemon/src/main/java/io/hornbeamscale/daemon/PromptPassages.java
@@ -16,7 +16,7 @@
     private static final int MAX_PASSAGES = 32;
 
     private static final String KIND = "prompt passage";
-    private static final Pattern BLANK_LINES = Pattern.compile("\\R\\s*\\R");
+    private static final Pattern BLANK_LINES = Pattern.compile("\\n\\s*\\n");
 
     private PromptPassages() {}
 
--- a/daemon/src/test/java/io/hornbeamscale/daemon/PromptPassagesTest.java
+++ b/daemon/src/test/java/io/hornbeamscale/daemon/PromptPassagesTest.java
@@ -20,6 +20,11 @@
                             .get(1));
         }
 
+        @Test
+        void mayHaveSeveralLines() {
+            assertEquals(1, PromptPassages.of("m", PASSAGE + "\r\n" + PASSAGE).size());
+        }
+
         @Test
         void ofAnotherModelIsDifferent() {
             assertNotEquals(PromptPassages.of("m", PASSAGE), PromptPassages.of("n", PASSAGE));
