--- a/review/src/review/ExtraAnswer.java
+++ b/review/src/review/ExtraAnswer.java
@@ -33,6 +33,7 @@
     private final AtomicInteger answers = new AtomicInteger();
     private final AtomicInteger extraAnswers = new AtomicInteger();
     private final AtomicInteger longStreams = new AtomicInteger();
+    private final AtomicInteger shortServed = new AtomicInteger();
     private long faultEndMillis;
 
     public static void main(String[] args) {
@@ -60,6 +61,7 @@
         faultEndMillis = record.millis() + FAULT_MILLIS;
         pause(200);
         sendShortStreams(entry);
+        record.line("caller", SHORT_STREAMS + " short streams sent, " + shortServed + " served");
         record.line("i-faulty", "has sent " + answers + " answers, " + extraAnswers + " of them twice");
         int served = 0;
         for (int i = 1; i <= STREAMS; i++) {
@@ -125,7 +127,7 @@
         for (int i = 0; i < SHORT_STREAMS; i++) {
             String name = "short" + i;
             String prompt = prompt("50,4", "b" + i);
-            callers.execute(() -> send(entry, name, prompt));
+            callers.execute(() -> shortServed.addAndGet(send(entry, name, prompt) ? 1 : 0));
         }
         callers.shutdown();
         callers.awaitTermination(FAULT_MILLIS, TimeUnit.MILLISECONDS);
--- a/review/src/review/FailedStream.java
+++ b/review/src/review/FailedStream.java
@@ -29,6 +29,9 @@
 
     private static final int OF = 5;
 
+    /** The statuses that promise that a request has not run. */
+    private static final Set<Integer> PROMISES = Set.of(408, 421, 429, 503);
+
     private final AtomicInteger arrivals = new AtomicInteger();
     private final Set<String> ran = ConcurrentHashMap.newKeySet();
     private final Set<String> toldNotRun = ConcurrentHashMap.newKeySet();
@@ -73,8 +76,9 @@
                 && FAILED.contains(arrivals.getAndIncrement() % OF);
         pause(EVENT_MILLIS);
         ran.add(name);
+        record.line(id, "makes the first token of " + name);
         if (isFailed) {
-            record.line(id, "has made the first token of " + name + ", then fails it: 503, no X-Hornbeamscale-Not-Run");
+            record.line(id, "fails " + name + " with 503, without X-Hornbeamscale-Not-Run");
             out.write(Server.answer(request, id, 503, "", "out of memory".getBytes(StandardCharsets.UTF_8)));
             return;
         }
@@ -90,18 +94,19 @@
         try (Caller caller = new Caller(entry.callerAddress())) {
             String headers = "X-Hornbeamscale-Model: m\r\nX-Hornbeamscale-Token-Usage: 200,16\r\n"
                     + "X-Hornbeamscale-Prompt-Prefix: 5c1e07a2:100,f" + Integer.toHexString(name.hashCode()) + ":100\r\n";
+            record.line("caller", "sends " + name);
             caller.send("POST", "/tale/" + name, name, 39_000, headers, "prompt".getBytes(StandardCharsets.UTF_8));
             Http.Message answer = caller.receive(15_000);
             if (answer == null) {
                 record.line("caller", name + ": closed");
-            } else if (answer.status() == 200) {
+                return;
+            }
+            String stamp = answer.header("x-hornbeamscale-server-stamp");
+            record.line("caller", name + ": " + answer.startLine() + ", stamp " + stamp);
+            if (answer.status() == 200) {
                 served.incrementAndGet();
-            } else {
-                record.line("caller", name + ": " + answer.startLine() + ", stamp "
-                        + answer.header("x-hornbeamscale-server-stamp"));
-                if (Set.of(408, 421, 429, 503).contains(answer.status())) {
-                    toldNotRun.add(name);
-                }
+            } else if (PROMISES.contains(answer.status())) {
+                toldNotRun.add(name);
             }
         } catch (IOException e) {
             record.line("caller", name + ": " + e.getMessage());
