--- a/review/src/review/Entry.java
+++ b/review/src/review/Entry.java
@@ -6,7 +6,6 @@
 import java.net.InetSocketAddress;
 import java.net.ServerSocket;
 import java.net.URL;
-import java.nio.charset.StandardCharsets;
 import java.nio.file.Files;
 import java.nio.file.Path;
 import java.util.ArrayList;
--- a/review/src/review/FailedStream.java
+++ b/review/src/review/FailedStream.java
@@ -93,7 +93,8 @@
     private void send(Entry entry, String name) {
         try (Caller caller = new Caller(entry.callerAddress())) {
             String headers = "X-Hornbeamscale-Model: m\r\nX-Hornbeamscale-Token-Usage: 200,16\r\n"
-                    + "X-Hornbeamscale-Prompt-Prefix: 5c1e07a2:100,f" + Integer.toHexString(name.hashCode()) + ":100\r\n";
+                    + "X-Hornbeamscale-Prompt-Prefix: 5c1e07a2:100,f" + Integer.toHexString(name.hashCode())
+                    + ":100\r\n";
             record.line("caller", "sends " + name);
             caller.send("POST", "/tale/" + name, name, 39_000, headers, "prompt".getBytes(StandardCharsets.UTF_8));
             Http.Message answer = caller.receive(15_000);
--- a/review/src/review/KeptConnections.java
+++ b/review/src/review/KeptConnections.java
@@ -53,9 +53,9 @@
         }
         while (record.millis() < until) {
             pause(REPORT_MILLIS);
-            record.line("all", "sent " + sent + ", run " + ran + ", 200: " + served + ", other answers: " + failed + ", closed: " + closed
-                    + ", unanswered after " + TIMEOUT_MILLIS + " ms: " + unansweredAtTimeout + ", after "
-                    + (TIMEOUT_MILLIS + LATE_MILLIS) + " ms: " + unansweredLater + "; process alive: "
+            record.line("all", "sent " + sent + ", run " + ran + ", 200: " + served + ", other answers: " + failed
+                    + ", closed: " + closed + ", unanswered after " + TIMEOUT_MILLIS + " ms: " + unansweredAtTimeout
+                    + ", after " + (TIMEOUT_MILLIS + LATE_MILLIS) + " ms: " + unansweredLater + "; process alive: "
                     + entry.isAlive() + ", ready: " + entry.isReady());
         }
         pause(TIMEOUT_MILLIS + LATE_MILLIS);
