Accept requests in a stopping entry only if they end before its exit

The entry compared the latency target of the route, not the time limit of the request, with the time until its exit, and the exit closed the connections of requests in progress without a response. Change: StopController decides by the time limit of the request, for new requests and before each first send on the plain and the stream path; requests in progress get a final response before the exit; the exit is decided on the traffic thread and waits until responses are written. The entry-agent path refuses every request while it drains and needs no change. The old tests of StopController used a time limit of 30 s and expected such requests to be accepted because of a short target, which is the fault; they now state the time limit, and further tests cover the rest.

--- a/gateway/src/main/java/io/hornbeamscale/gateway/CallerIdleTimeout.java
+++ b/gateway/src/main/java/io/hornbeamscale/gateway/CallerIdleTimeout.java
@@ -36,6 +36,13 @@
         });
     }
 
+    /** Returns the number of connections with a request whose response has not been written completely. */
+    int connectionsInUse() {
+        return (int) idleSinceMillis.values().stream()
+                .filter(since -> since == IN_USE)
+                .count();
+    }
+
     /** Closes the connections that were idle for longer than the limit. */
     void closeIdle(long idleTimeoutMillis, long nowMillis) {
         List<ServerConnection> expired = new ArrayList<>();
--- a/gateway/src/main/java/io/hornbeamscale/gateway/Gateway.java
+++ b/gateway/src/main/java/io/hornbeamscale/gateway/Gateway.java
@@ -83,6 +83,9 @@
      */
     private static final long MAX_PASSED_ON_BYTES = 16 * 1024;
 
+    /** The interval between two checks of a stopping process, in milliseconds. */
+    private static final long STOP_CHECK_INTERVAL_MILLIS = 20;
+
     private static final long SWEEP_INTERVAL_MILLIS = 1_000;
     private static final double MICROS_PER_MILLI = 1_000;
 
@@ -130,8 +133,9 @@
         this.settings = Arguments.notNull(settings, "settings");
         this.worker = worker();
         this.thread = worker.getIoThread(0);
+        stopController = new StopController(settings.graceMillis());
         BackendClient client = new BackendClient(thread, buffers);
-        traffic = new TrafficState(thread, blackboard, codec, client, settings, metrics, log, random);
+        traffic = new TrafficState(thread, blackboard, codec, client, settings, stopController, metrics, log, random);
         traffic.setStatusSender(this::collectStatus);
         control = new ControlLoop("gateway", TICK_MILLIS, this::tick);
         watches = new StoreWatchController(settings.node());
@@ -152,8 +156,7 @@
                 address.getBytes(StandardCharsets.UTF_8),
                 control::execute,
                 this::executeLater);
-        stopController = new StopController(settings.graceMillis());
-        handler = new GatewayHandler(traffic, () -> blackboard.get(DOCUMENT), stopController);
+        handler = new GatewayHandler(traffic, () -> blackboard.get(DOCUMENT));
         server = new GatewayServer(settings, worker, buffers, handler, this::isReady, metrics);
     }
 
@@ -191,6 +194,8 @@
         stopController.stop(ControlLoop.now());
         log.processEvent("stop", "requests in progress: " + traffic.running());
         control.execute(registration::end);
+        thread.execute(() -> traffic.relays().forEach(Relay::refuseIfStopping));
+        thread.executeAtInterval(this::progressStop, STOP_CHECK_INTERVAL_MILLIS, TimeUnit.MILLISECONDS);
     }
 
     /**
@@ -199,7 +204,18 @@
      * @return whether it was asked to stop and either has been idle long enough or is about to exceed the grace period
      */
     public boolean isDrained() {
-        return stopController.isReadyToExit(traffic.running(), ControlLoop.now());
+        return stopController.isExitDue(ControlLoop.now());
+    }
+
+    /** Decides about the exit on the traffic thread, so that no request is accepted between the decision and the exit. */
+    private void progressStop() {
+        long now = ControlLoop.now();
+        if (stopController.isFinalResponseDue(now)) {
+            traffic.relays().forEach(Relay::endForExit);
+        }
+        if (stopController.isReadyToExit(handler.openRequests(), now)) {
+            stopController.exit();
+        }
     }
 
     @Override
--- a/gateway/src/main/java/io/hornbeamscale/gateway/GatewayHandler.java
+++ b/gateway/src/main/java/io/hornbeamscale/gateway/GatewayHandler.java
@@ -33,13 +33,11 @@
 
     private final TrafficState traffic;
     private final Supplier<Optional<RouteDocument>> document;
-    private final StopPolicy stopPolicy;
     private final CallerIdleTimeout idleTimeout = new CallerIdleTimeout();
 
-    GatewayHandler(TrafficState traffic, Supplier<Optional<RouteDocument>> document, StopPolicy stopPolicy) {
+    GatewayHandler(TrafficState traffic, Supplier<Optional<RouteDocument>> document) {
         this.traffic = traffic;
         this.document = document;
-        this.stopPolicy = stopPolicy;
     }
 
     /** Closes callers' connections that were idle for longer than the document allows. */
@@ -47,6 +45,11 @@
         document.get().ifPresent(rules -> idleTimeout.closeIdle(rules.limits().idleTimeoutMillis(), nowMillis));
     }
 
+    /** Returns the number of requests whose response has not been written completely. */
+    int openRequests() {
+        return idleTimeout.connectionsInUse();
+    }
+
     @Override
     public void handleRequest(HttpServerExchange exchange) {
         long now = ControlLoop.now();
@@ -142,13 +145,12 @@
                 rules.version(),
                 arrivedAtMillis,
                 arrivedAtMillis + limit);
-        if (stopPolicy.isRefused(request)) {
+        if (traffic.stop().isStopping()) {
             exchange.setPersistent(false);
-            refuse(exchange, head, ErrorKind.DRAINING, 0, "the process stops before the response would end");
-            return;
         }
-        if (stopPolicy.isStopping()) {
-            exchange.setPersistent(false);
+        if (traffic.stop().isRefused(request)) {
+            refuse(exchange, head, ErrorKind.DRAINING, 0, Relay.EXIT_BEFORE_RESPONSE);
+            return;
         }
         if (traffic.crashDetector().isQuarantined(request, arrivedAtMillis)) {
             refuse(exchange, head, ErrorKind.REQUEST_QUARANTINED, -1, "the request has crashed servers");
@@ -197,13 +199,4 @@
         }
         return size;
     }
-
-    /** Decides which requests a stopping process still accepts. */
-    interface StopPolicy {
-        /** Returns whether the process was asked to stop. */
-        boolean isStopping();
-
-        /** Returns whether a request is refused because it might not end before the process exits. */
-        boolean isRefused(RelayRequest request);
-    }
 }
--- a/gateway/src/main/java/io/hornbeamscale/gateway/PlainRelay.java
+++ b/gateway/src/main/java/io/hornbeamscale/gateway/PlainRelay.java
@@ -90,6 +90,9 @@
     }
 
     private void send(long nowMillis) {
+        if (refuseIfStopping()) {
+            return;
+        }
         if (traffic().crashDetector().isQuarantined(request(), nowMillis)) {
             failAsQuarantined();
             return;
@@ -135,7 +138,9 @@
         long now = ControlLoop.now();
         boolean isReady =
                 traffic().server(server.id()).map(FleetServer::isReady).orElse(false);
-        if (isReady && traffic().health().isUsable(server.id(), now)) {
+        if (isReady
+                && !traffic().stop().isRefused(request())
+                && traffic().health().isUsable(server.id(), now)) {
             begin(server, now);
         } else {
             send(now);
--- a/gateway/src/main/java/io/hornbeamscale/gateway/Relay.java
+++ b/gateway/src/main/java/io/hornbeamscale/gateway/Relay.java
@@ -14,6 +14,8 @@
      */
     static final long RESPONSE_MARGIN_MILLIS = 10;
 
+    static final String EXIT_BEFORE_RESPONSE = "the process may exit before the response";
+
     private final TrafficState traffic;
     private final HttpServerExchange exchange;
     private final CallerResponse response;
@@ -82,6 +84,7 @@
         }
         exchange.setStatusCode(status);
         traffic.codec().copyResponseHeaders(headers, exchange.getResponseHeaders());
+        closeConnectionIfStopping();
         response.respond(body);
         finished(status, why);
     }
@@ -90,6 +93,7 @@
     final void startForwarding(int status, HeaderMap headers) {
         exchange.setStatusCode(status);
         traffic.codec().copyResponseHeaders(headers, exchange.getResponseHeaders());
+        closeConnectionIfStopping();
         response.start();
     }
 
@@ -119,10 +123,40 @@
         traffic.codec()
                 .encodeLocalResponse(
                         exchange.getResponseHeaders(), request.head().requestId(), retryAfterMillis);
+        closeConnectionIfStopping();
         response.respond(LocalErrorResponses.body(kind));
         finished(status, kind.code() + ": " + why);
     }
 
+    /**
+     * Refuses the request if it has not run and the process may exit before its time limit.
+     *
+     * @return whether the request was refused
+     */
+    final boolean refuseIfStopping() {
+        if (isEnded || mayHaveRun() || !traffic.stop().isRefused(request)) {
+            return false;
+        }
+        fail(ErrorKind.DRAINING, 0, EXIT_BEFORE_RESPONSE);
+        return true;
+    }
+
+    /** Ends the request because the process exits now. */
+    final void endForExit() {
+        if (mayHaveRun()) {
+            fail(ErrorKind.OUTCOME_UNKNOWN, -1, "the process exits before the response is complete");
+        } else {
+            fail(ErrorKind.DRAINING, 0, EXIT_BEFORE_RESPONSE);
+        }
+    }
+
+    /** Lets the caller send its next request to another entry. */
+    private void closeConnectionIfStopping() {
+        if (traffic.stop().isStopping()) {
+            exchange.setPersistent(false);
+        }
+    }
+
     private void deadlinePassed() {
         if (isEnded) {
             return;
--- a/gateway/src/main/java/io/hornbeamscale/gateway/StopController.java
+++ b/gateway/src/main/java/io/hornbeamscale/gateway/StopController.java
@@ -1,63 +1,94 @@
 package io.hornbeamscale.gateway;
 
 /**
- * Decides which requests a stopping process still accepts, and when it exits. Short requests are still answered, since
- * callers may have connected just before the load balancer noticed the stop. Streams that might not end in time are
- * refused at once, so that their callers go to another entry; they are judged by their greatest length, since length
- * hints are often too low. Safe for use by several threads.
+ * Decides which requests a stopping process still accepts, when it ends the rest, and when it exits. A request is
+ * accepted only if its time limit passes before the process exits: how long a server will take is unknown, and a
+ * request that was accepted must get its response. Everything else is refused at once, so that its caller goes to
+ * another entry. Safe for use by several threads.
  */
-final class StopController implements GatewayHandler.StopPolicy {
-    /** How long before the end of the grace period the process exits by itself, in milliseconds. */
+final class StopController {
+    /** How long before the end of the grace period the process exits at the latest, in milliseconds. */
     private static final long EXIT_MARGIN_MILLIS = 700;
 
-    /** The longest expected duration of a request that is still accepted, as a share of the time left. */
-    private static final double MAX_TIME_SHARE = 0.8;
+    /**
+     * How long before the latest exit the requests in progress get a final response, in milliseconds; covers the time
+     * to write the responses.
+     */
+    private static final long RESPONSE_MARGIN_MILLIS = 200;
 
     /** How long a stopping process without requests keeps accepting connections, in milliseconds. */
     private static final long MIN_LINGER_MILLIS = 3_500;
 
-    /** The time per token of a stream on a busy server, in milliseconds. */
-    private static final double TOKEN_MILLIS = 12;
+    /** How long after the latest exit the process exits even if its traffic thread does not respond, in milliseconds. */
+    private static final long UNRESPONSIVE_MILLIS = 300;
 
     private volatile long graceMillis;
-    private volatile long stoppedAtMillis = Long.MIN_VALUE;
+    private volatile Stop stop;
+    private volatile boolean isExiting;
 
     StopController(long graceMillis) {
         this.graceMillis = graceMillis;
     }
 
+    /** Changes the grace period. A stop that has begun keeps its own, as the time of the kill is already set. */
     void setGrace(long millis) {
         graceMillis = millis;
     }
 
+    /** Begins the stop; further calls have no effect. */
     void stop(long nowMillis) {
-        stoppedAtMillis = nowMillis;
+        if (stop == null) {
+            stop = new Stop(nowMillis, nowMillis + graceMillis - EXIT_MARGIN_MILLIS);
+        }
     }
 
-    @Override
-    public boolean isStopping() {
-        return stoppedAtMillis != Long.MIN_VALUE;
+    /** Returns whether the process was asked to stop. */
+    boolean isStopping() {
+        return stop != null;
     }
 
-    @Override
-    public boolean isRefused(RelayRequest request) {
-        if (!isStopping()) {
-            return false;
-        }
-        long remainingMillis = stoppedAtMillis + graceMillis - EXIT_MARGIN_MILLIS - request.arrivedAtMillis();
-        double maxDurationMillis = request.service().engine().isPresent()
-                ? request.maxTokens() * TOKEN_MILLIS + request.route().objectiveMillis()
-                : request.route().objectiveMillis();
-        return maxDurationMillis > remainingMillis * MAX_TIME_SHARE;
+    /** Returns whether a request that no server has received is refused because the process may exit before its end. */
+    boolean isRefused(RelayRequest request) {
+        return isExiting || (isStopping() && request.deadlineMillis() > finalResponsesAtMillis());
     }
 
-    /** Returns whether the process may exit. */
-    boolean isReadyToExit(int running, long nowMillis) {
+    /** Returns whether the requests in progress must be ended now. */
+    boolean isFinalResponseDue(long nowMillis) {
+        return isStopping() && nowMillis >= finalResponsesAtMillis();
+    }
+
+    /**
+     * Returns whether the process may exit.
+     *
+     * @param open the number of requests whose response has not been written completely
+     */
+    boolean isReadyToExit(int open, long nowMillis) {
         if (!isStopping()) {
             return false;
         }
-        long stoppingMillis = nowMillis - stoppedAtMillis;
-        return stoppingMillis >= graceMillis - EXIT_MARGIN_MILLIS
-                || (running == 0 && stoppingMillis >= MIN_LINGER_MILLIS);
+        boolean isIdle = open == 0 && nowMillis >= stop.beganAtMillis() + MIN_LINGER_MILLIS;
+        return isIdle || nowMillis >= stop.exitAtMillis();
     }
+
+    /** Refuses every further request, as the process exits now. */
+    void exit() {
+        isExiting = true;
+    }
+
+    /** Returns whether the process exits now, or should have done so and the traffic thread has not noticed it. */
+    boolean isExitDue(long nowMillis) {
+        return isExiting || (isStopping() && nowMillis >= stop.exitAtMillis() + UNRESPONSIVE_MILLIS);
+    }
+
+    private long finalResponsesAtMillis() {
+        return stop.exitAtMillis() - RESPONSE_MARGIN_MILLIS;
+    }
+
+    /**
+     * A stop that has begun.
+     *
+     * @param beganAtMillis when it began, in milliseconds
+     * @param exitAtMillis when the process exits at the latest, in milliseconds
+     */
+    private record Stop(long beganAtMillis, long exitAtMillis) {}
 }
--- a/gateway/src/main/java/io/hornbeamscale/gateway/StreamRelay.java
+++ b/gateway/src/main/java/io/hornbeamscale/gateway/StreamRelay.java
@@ -102,7 +102,7 @@
 
     /** Sends the request to a server with room, if there is one. Returns whether it need not wait any longer. */
     boolean tryPlace() {
-        if (isEnded()) {
+        if (isEnded() || refuseIfStopping()) {
             return true;
         }
         long now = ControlLoop.now();
--- a/gateway/src/main/java/io/hornbeamscale/gateway/TrafficState.java
+++ b/gateway/src/main/java/io/hornbeamscale/gateway/TrafficState.java
@@ -47,6 +47,7 @@
     private final DecisionLog log;
     private final RandomGenerator random;
     private final GatewaySettings settings;
+    private final StopController stop;
     private final LoadTracker loads = new LoadTracker();
     private final HealthTracker health = new HealthTracker();
     private final EventIntervalTracker pace = new EventIntervalTracker();
@@ -69,6 +70,7 @@
             ExchangeCodec codec,
             BackendClient client,
             GatewaySettings settings,
+            StopController stop,
             GatewayMetrics metrics,
             DecisionLog log,
             RandomGenerator random) {
@@ -77,6 +79,7 @@
         this.codec = codec;
         this.client = client;
         this.settings = settings;
+        this.stop = stop;
         this.metrics = metrics;
         this.log = log;
         this.random = random;
@@ -116,6 +119,10 @@
         return settings;
     }
 
+    StopController stop() {
+        return stop;
+    }
+
     LoadTracker loads() {
         return loads;
     }
--- a/gateway/src/test/java/io/hornbeamscale/gateway/StopControllerTest.java
+++ b/gateway/src/test/java/io/hornbeamscale/gateway/StopControllerTest.java
@@ -24,11 +24,12 @@
 
     private final StopController stop = new StopController(GRACE_MILLIS);
 
-    private static RelayRequest request(RequestKind kind, long tokens, long arrivedAtMillis) {
-        return request(kind, tokens, tokens, arrivedAtMillis);
+    private static RelayRequest request(RequestKind kind, long tokens, long limitMillis, long arrivedAtMillis) {
+        return request(kind, tokens, tokens, limitMillis, arrivedAtMillis);
     }
 
-    private static RelayRequest request(RequestKind kind, long maxTokens, long hintedTokens, long arrivedAtMillis) {
+    private static RelayRequest request(
+            RequestKind kind, long maxTokens, long hintedTokens, long limitMillis, long arrivedAtMillis) {
         boolean isStream = kind == RequestKind.STREAMING;
         return new RelayRequest(
                 new CallerRequestHead(
@@ -61,14 +62,14 @@
                 false,
                 1,
                 arrivedAtMillis,
-                arrivedAtMillis + 30_000);
+                arrivedAtMillis + limitMillis);
     }
 
     @Nested
     class BeforeTheStop {
         @Test
         void acceptsEveryRequestAndDoesNotExit() {
-            assertFalse(stop.isRefused(request(RequestKind.STREAMING, 2_000, 0)));
+            assertFalse(stop.isRefused(request(RequestKind.STREAMING, 2_000, 30_000, 0)));
             assertFalse(stop.isReadyToExit(0, Long.MAX_VALUE / 2));
         }
     }
@@ -76,16 +77,27 @@
     @Nested
     class AfterTheStop {
         @Test
-        void acceptsShortRequests() {
+        void acceptsRequestsWhoseTimeLimitPassesBeforeTheExit() {
             stop.stop(1_000);
-            assertFalse(stop.isRefused(request(RequestKind.NON_IDEMPOTENT, 0, 2_000)));
-            assertFalse(stop.isRefused(request(RequestKind.STREAMING, 12, 2_000)));
+            assertFalse(stop.isRefused(request(RequestKind.NON_IDEMPOTENT, 0, 2_000, 2_000)));
+            assertFalse(stop.isRefused(request(RequestKind.STREAMING, 12, 6_000, 2_000)));
+        }
+
+        /**
+         * Bookings with a latency target of 200 ms, a time limit of 2,000 ms and a server that needs 700 ms were
+         * accepted 6.7 s after the stop and cut off by the exit 600 ms later.
+         */
+        @Test
+        void refusesShortRequestsWhoseTimeLimitPassesAfterTheExit() {
+            stop.stop(0);
+            assertTrue(stop.isRefused(request(RequestKind.NON_IDEMPOTENT, 0, 2_000, 6_200)));
+            assertTrue(stop.isRefused(request(RequestKind.STREAMING, 12, 6_000, 2_000)));
         }
 
         @Test
         void refusesLongStreams() {
             stop.stop(1_000);
-            assertTrue(stop.isRefused(request(RequestKind.STREAMING, 944, 1_001)));
+            assertTrue(stop.isRefused(request(RequestKind.STREAMING, 944, 39_000, 1_001)));
         }
 
         /**
@@ -95,25 +107,59 @@
         @Test
         void refusesStreamsWhoseGreatestLengthIsTooLong() {
             stop.stop(0);
-            assertTrue(stop.isRefused(request(RequestKind.STREAMING, 2_224, 100, 3_600)));
+            assertTrue(stop.isRefused(request(RequestKind.STREAMING, 2_224, 100, 30_000, 3_600)));
         }
 
         @Test
         void refusesRequestsThatOutlastTheGracePeriod() {
             stop.stop(1_000);
-            assertTrue(stop.isRefused(request(RequestKind.NON_IDEMPOTENT, 0, 1_000 + GRACE_MILLIS - 750)));
+            assertTrue(stop.isRefused(request(RequestKind.NON_IDEMPOTENT, 0, 200, 1_000 + GRACE_MILLIS - 1_050)));
         }
 
         @Test
         void usesAChangedGracePeriod() {
             stop.setGrace(20_000);
             stop.stop(0);
-            assertFalse(stop.isRefused(request(RequestKind.STREAMING, 944, 1)));
+            assertFalse(stop.isRefused(request(RequestKind.STREAMING, 944, 12_000, 1)));
+        }
+
+        /** The platform kills the process after the grace period that was in force at the signal. */
+        @Test
+        void keepsTheGracePeriodThatWasInForceWhenItBegan() {
+            stop.stop(0);
+            stop.setGrace(20_000);
+            stop.stop(1_000);
+            assertTrue(stop.isRefused(request(RequestKind.STREAMING, 944, 12_000, 1)));
+            assertTrue(stop.isReadyToExit(1, GRACE_MILLIS - 700));
+        }
+
+        /** A request that arrives between the decision to exit and the exit would be accepted and cut off. */
+        @Test
+        void refusesEveryRequestOnceTheExitIsDecided() {
+            stop.stop(0);
+            stop.exit();
+            assertTrue(stop.isRefused(request(RequestKind.NON_IDEMPOTENT, 0, 200, 4_000)));
         }
     }
 
     @Nested
     class Exit {
+        @Test
+        void isPrecededByTheFinalResponsesOfTheRequestsInProgress() {
+            stop.stop(0);
+            assertFalse(stop.isFinalResponseDue(GRACE_MILLIS - 1_000));
+            assertTrue(stop.isFinalResponseDue(GRACE_MILLIS - 900));
+            assertFalse(stop.isReadyToExit(1, GRACE_MILLIS - 900));
+        }
+
+        /** A traffic thread that does not run must not keep the process until it is killed. */
+        @Test
+        void isDueEvenIfTheTrafficThreadHasNotDecidedIt() {
+            stop.stop(0);
+            assertFalse(stop.isExitDue(GRACE_MILLIS - 700));
+            assertTrue(stop.isExitDue(GRACE_MILLIS - 400));
+        }
+
         @Test
         void comesBeforeTheGracePeriodEndsEvenIfRequestsRun() {
             stop.stop(0);
