Take only a server's explicit statement as "not run", on every path

The stream path forwarded every error status; the platform codec took each 421 for a refusal; a 200 that also states "not run" counted as a refusal; the agent reported each 429 and 503 as not_run and passed on a plain service's 503. Change: BackendResponses decides from status and explicit statement, used by both relays of the gateway and by the agent. Relay.forwardResponse and Relay.fail replace a status that promises "not run" if the request may have run. Servers behind an agent make the statement with the header X-Not-Run. Conclusion: an engine behind an agent that never states "not run" gets outcome_unknown for its 429 and 503.

--- a/daemon/src/main/java/io/hornbeamscale/daemon/AgentDaemon.java
+++ b/daemon/src/main/java/io/hornbeamscale/daemon/AgentDaemon.java
@@ -426,20 +426,28 @@
         public void answered(GenerationId generation, int status, Map<String, String> headers, Payload body) {
             control.execute(() -> {
                 calls.remove(generation);
+                long now = ControlLoop.now();
+                if (EngineErrors.outcomeOf(status, headers) == RunOutcome.UNKNOWN) {
+                    LOG.warn(
+                            "Call {} ended with status {} without a statement that it has not run.",
+                            generation,
+                            status);
+                    carryOut(controller.backendFailed(generation, ErrorKind.OUTCOME_UNKNOWN, RunOutcome.UNKNOWN, now));
+                    return;
+                }
                 Map<String, String> filtered = HeaderFilter.filterResponse(headers);
-                carryOut(controller.backendAnswered(generation, status, filtered, body, ControlLoop.now()));
+                carryOut(controller.backendAnswered(generation, status, filtered, body, now));
             });
         }
 
         @Override
-        public void refused(GenerationId generation, int status) {
+        public void refused(GenerationId generation, int status, Map<String, String> headers) {
             control.execute(() -> {
                 CallState state = calls.remove(generation);
                 crashes.ended(generation, ControlLoop.now());
                 boolean isReattached = state != null && state.engineId != null;
-                ErrorKind kind = isReattached ? ErrorKind.GENERATION_LOST : EngineErrors.kindOf(status);
-                boolean mayHaveRun = isReattached || (status >= 500 && status != 503);
-                RunOutcome outcome = mayHaveRun ? RunOutcome.RAN : RunOutcome.NOT_RUN;
+                RunOutcome outcome = isReattached ? RunOutcome.RAN : EngineErrors.outcomeOf(status, headers);
+                ErrorKind kind = isReattached ? ErrorKind.GENERATION_LOST : EngineErrors.kindOf(status, outcome);
                 LOG.warn("The engine rejected {} with status {}.", generation, status);
                 carryOut(controller.backendFailed(generation, kind, outcome, ControlLoop.now()));
             });
--- a/daemon/src/main/java/io/hornbeamscale/daemon/EngineCallListener.java
+++ b/daemon/src/main/java/io/hornbeamscale/daemon/EngineCallListener.java
@@ -22,8 +22,8 @@
     /** The plain service sent a complete response. */
     void answered(GenerationId generation, int status, Map<String, String> headers, Payload body);
 
-    /** The engine rejected the call with an HTTP status other than 200. */
-    void refused(GenerationId generation, int status);
+    /** The engine responded with an HTTP status other than 200. */
+    void refused(GenerationId generation, int status, Map<String, String> headers);
 
     /** The call failed before its end: the connection was lost or the response is malformed, cut off or too large. */
     void failed(GenerationId generation, String reason);
--- a/daemon/src/main/java/io/hornbeamscale/daemon/EngineClient.java
+++ b/daemon/src/main/java/io/hornbeamscale/daemon/EngineClient.java
@@ -110,6 +110,7 @@
         private long firstOffset = -1;
         private long nextOffset;
         private String finishReason = "";
+        private Map<String, String> headers = Map.of();
         private int status;
         private boolean isDone;
 
@@ -118,8 +119,9 @@
         }
 
         @Override
-        public void head(int code, Map<String, String> headers) {
+        public void head(int code, Map<String, String> received) {
             status = code;
+            headers = received;
             String id = headers.get("x-stream-id");
             if (id != null) {
                 listener.accepted(generation, id);
@@ -146,7 +148,7 @@
         public void complete() {
             openCalls.remove(generation);
             if (status != 200) {
-                listener.refused(generation, status);
+                listener.refused(generation, status, headers);
             } else if (!isDone) {
                 listener.failed(generation, "the engine ended its response early");
             }
--- a/gateway/src/main/java/io/hornbeamscale/gateway/BackendResponseHead.java
+++ b/gateway/src/main/java/io/hornbeamscale/gateway/BackendResponseHead.java
@@ -7,7 +7,7 @@
  * The decoded headers of a backend server's response.
  *
  * @param requestId the id of the request that the response belongs to, empty if it is missing
- * @param isNotRun whether the server states that it has not run the request
+ * @param statesNotRun whether the server states that it has not run the request
  * @param hasSignature whether the response has the server's signature
  * @param serverId the id of the server, empty if it is missing
  * @param idleTimeoutMillis how long the server keeps an idle connection, in milliseconds, 0 if unknown
@@ -15,7 +15,7 @@
  */
 public record BackendResponseHead(
         Optional<String> requestId,
-        boolean isNotRun,
+        boolean statesNotRun,
         boolean hasSignature,
         Optional<String> serverId,
         long idleTimeoutMillis,
--- a/gateway/src/main/java/io/hornbeamscale/gateway/Relay.java
+++ b/gateway/src/main/java/io/hornbeamscale/gateway/Relay.java
@@ -1,8 +1,11 @@
 package io.hornbeamscale.gateway;
 
+import io.hornbeamscale.core.error.BackendResponses;
 import io.hornbeamscale.core.error.ErrorKind;
+import io.hornbeamscale.core.error.RunOutcome;
 import io.undertow.server.HttpServerExchange;
 import io.undertow.util.HeaderMap;
+import java.util.Optional;
 import java.util.concurrent.TimeUnit;
 import org.xnio.XnioExecutor;
 
@@ -77,8 +80,32 @@
         return "";
     }
 
-    /** Sends a server's complete response to the caller. */
+    /**
+     * Returns why a response cannot be the server's response to this request, empty if it can. Must be called for each
+     * response before its outcome is used.
+     */
+    final Optional<String> mismatch(int status, BackendResponseHead head) {
+        if (!head.requestId().equals(request.head().requestId())) {
+            return Optional.of("the response belongs to another request");
+        }
+        if (head.statesNotRun() && BackendResponses.outcome(status, true) != RunOutcome.NOT_RUN) {
+            return Optional.of("status " + status + " with a statement that the request has not run");
+        }
+        return Optional.empty();
+    }
+
+    /**
+     * Sends the complete response of a server that ran the request to the caller. A status that callers take as the
+     * promise that the request has not run is replaced.
+     */
     final void forwardResponse(int status, HeaderMap headers, byte[] body, String why) {
+        if (BackendResponses.isNotRunStatus(status)) {
+            fail(
+                    ErrorKind.OUTCOME_UNKNOWN,
+                    -1,
+                    "status " + status + " without a statement that it has not run, " + why);
+            return;
+        }
         if (!end()) {
             return;
         }
@@ -106,9 +133,14 @@
     }
 
     /**
-     * Ends the request with an error response of this entry, or by closing the connection if a response has started.
+     * Ends the request with an error response of this entry, or by closing the connection if a response has started. A
+     * request that may have run never gets a status that promises the contrary.
      */
     final void fail(ErrorKind kind, long retryAfterMillis, String why) {
+        if (mayHaveRun() && BackendResponses.isNotRunStatus(LocalErrorResponses.status(kind))) {
+            fail(ErrorKind.OUTCOME_UNKNOWN, -1, why);
+            return;
+        }
         if (!end()) {
             return;
         }
--- a/gateway/src/main/java/io/hornbeamscale/gateway/StreamAttempt.java
+++ b/gateway/src/main/java/io/hornbeamscale/gateway/StreamAttempt.java
@@ -1,5 +1,7 @@
 package io.hornbeamscale.gateway;
 
+import io.hornbeamscale.core.error.BackendResponses;
+import io.hornbeamscale.core.error.RunOutcome;
 import io.hornbeamscale.core.fleet.FleetServer;
 import io.hornbeamscale.core.placement.CopyLinkSchedule;
 import io.hornbeamscale.core.placement.ServerLoad;
@@ -160,11 +162,12 @@
         headers = found;
         BackendResponseHead head = relay.traffic().codec().decodeBackendResponse(code, found);
         exchange.setServerIdleTimeout(head.idleTimeoutMillis());
-        isNotRun = head.isNotRun();
+        isNotRun = BackendResponses.outcome(code, head.statesNotRun()) == RunOutcome.NOT_RUN;
         relay.traffic().responded(server.id(), code, head, sentAtMillis, ControlLoop.now());
-        if (!head.requestId().equals(relay.request().head().requestId())) {
+        Optional<String> mismatch = relay.mismatch(code, head);
+        if (mismatch.isPresent()) {
             exchange.cancel();
-            failed(BackendExchange.Failure.BROKEN, "the response belongs to another request");
+            failed(BackendExchange.Failure.BROKEN, mismatch.get());
             return;
         }
         if (!isStream()) {
--- a/gateway/src/main/java/io/hornbeamscale/gateway/TrafficState.java
+++ b/gateway/src/main/java/io/hornbeamscale/gateway/TrafficState.java
@@ -145,7 +145,7 @@
 
     /** Handles the head of a server's response to a request, which may name a limit. */
     void responded(String server, int status, BackendResponseHead head, long sentAtMillis, long nowMillis) {
-        boolean isSuccess = status < STATUS_REDIRECT && head.hasSignature() && !head.isNotRun();
+        boolean isSuccess = status < STATUS_REDIRECT && head.hasSignature() && !head.statesNotRun();
         if (limits.responded(server, head.requestLimit(), isSuccess, sentAtMillis, nowMillis)) {
             log.limitChanged(server, head.requestLimit(), limits.requestsPerSecond(server));
             thread.execute(this::placeWaiting);
--- a/standin/src/main/java/io/hornbeamscale/standin/FaultInjectingHandler.java
+++ b/standin/src/main/java/io/hornbeamscale/standin/FaultInjectingHandler.java
@@ -51,7 +51,7 @@
         exchange.getRequestReceiver()
                 .receiveFullString((ex, body) -> ex.dispatch(SameThreadExecutor.INSTANCE, () -> {
                     if (refuse.isPresent()) {
-                        send(ex, StandInResponse.error(refuse.get().status(), "refused"));
+                        send(ex, StandInResponse.refusal(refuse.get().status()));
                         return;
                     }
                     long pause = faults.consume(StandInFault.DelayRequest.class)
--- a/standin/src/main/java/io/hornbeamscale/standin/StandInResponse.java
+++ b/standin/src/main/java/io/hornbeamscale/standin/StandInResponse.java
@@ -14,6 +14,14 @@
         return new StandInResponse(status, Map.of("Content-Type", "application/json"), StandInJson.text(node));
     }
 
+    /** Returns the response to a request that was not executed, with the statement that engines and services add. */
+    static StandInResponse refusal(int status) {
+        return new StandInResponse(
+                status,
+                Map.of("Content-Type", "application/json", "X-Not-Run", "1"),
+                StandInJson.text(Map.of("error", "refused")));
+    }
+
     static StandInResponse error(int status, String code) {
         return json(status, Map.of("error", code));
     }
