Never send a request again to a server that refused it

It was sent to the server that had refused it; the server repeated its refusal and ran the stream, and the entry took the copy for the response to the second send. Id and statement fit both sends. Change: a stream goes to each server that refuses it once, also as a continuation, to a backup or after a move, and is refused at once if every server has refused it. An agent no longer shares connections between callers' calls. Conclusion: the connection rule alone covers a copy on the same connection; the rule per server covers any connection.

--- a/daemon/src/main/java/io/hornbeamscale/daemon/AgentDaemon.java
+++ b/daemon/src/main/java/io/hornbeamscale/daemon/AgentDaemon.java
@@ -308,7 +308,7 @@
             crashes.started(a, ControlLoop.now());
             engine.startGeneration(a.generation(), state.requestTag, a.call());
         } else {
-            engine.startPlainCall(a.generation(), a.call(), a.work().isRepeatable());
+            engine.startPlainCall(a.generation(), a.call());
         }
     }
 
--- a/daemon/src/main/java/io/hornbeamscale/daemon/BackendHttpCall.java
+++ b/daemon/src/main/java/io/hornbeamscale/daemon/BackendHttpCall.java
@@ -13,11 +13,18 @@
 /** A call of a {@link BackendHttpClient}. Its listener is notified of exactly one end, unless the call is closed. */
 final class BackendHttpCall {
     private final BackendHttpClient.Listener listener;
+    private final boolean mayReuse;
     private ClientConnection connection;
     private boolean isClosed;
 
-    BackendHttpCall(BackendHttpClient.Listener listener) {
+    BackendHttpCall(BackendHttpClient.Listener listener, boolean mayReuse) {
         this.listener = listener;
+        this.mayReuse = mayReuse;
+    }
+
+    /** Returns whether the connection may be used for another call after the response. */
+    boolean mayReuse() {
+        return mayReuse;
     }
 
     /** Aborts the call and closes its connection; the listener is not notified any more. */
--- a/daemon/src/main/java/io/hornbeamscale/daemon/BackendHttpClient.java
+++ b/daemon/src/main/java/io/hornbeamscale/daemon/BackendHttpClient.java
@@ -23,9 +23,9 @@
 import org.xnio.channels.StreamSourceChannel;
 
 /**
- * Sends HTTP calls to one backend server. Connections are kept for reuse after a complete response. Calls that must not
- * be repeated always use a new connection: the server may close an idle connection at any time, and a failed write
- * would leave the outcome of the call unknown.
+ * Sends HTTP calls to one backend server. Only the agent's own calls share connections. A caller's call has a connection of
+ * its own: the server may close an idle connection at any time, which would leave the outcome of the call unknown, and
+ * nothing tells its response from an earlier one that the server sends once more.
  */
 final class BackendHttpClient {
     private static final int BUFFER_BYTES = 16 * 1024;
@@ -44,7 +44,7 @@
     /** Starts a call; the listener is notified on I/O threads. */
     BackendHttpCall call(
             String method, String path, Map<String, String> headers, byte[] body, boolean mayReuse, Listener listener) {
-        BackendHttpCall call = new BackendHttpCall(listener);
+        BackendHttpCall call = new BackendHttpCall(listener, mayReuse);
         ClientConnection connection = mayReuse ? takeIdleConnection() : null;
         if (connection != null) {
             ClientConnection idle = connection;
@@ -178,7 +178,7 @@
         }
 
         private void release() {
-            if (connection.isOpen() && idleConnections.size() < MAX_IDLE_CONNECTIONS) {
+            if (call.mayReuse() && connection.isOpen() && idleConnections.size() < MAX_IDLE_CONNECTIONS) {
                 idleConnections.addLast(connection);
             } else {
                 IoUtils.safeClose(connection);
--- a/daemon/src/main/java/io/hornbeamscale/daemon/EngineClient.java
+++ b/daemon/src/main/java/io/hornbeamscale/daemon/EngineClient.java
@@ -55,11 +55,11 @@
     /** Reattaches to the stream of a running generation and reads it from an offset. */
     void reattach(GenerationId generation, String engineId, long offset) {
         String path = "/v1/streams/" + engineId + "?from=" + offset;
-        register(generation, http.call("GET", path, Map.of(), NO_BODY, true, new StreamListener(generation)));
+        register(generation, http.call("GET", path, Map.of(), NO_BODY, false, new StreamListener(generation)));
     }
 
     /** Starts a call on a plain service. */
-    void startPlainCall(GenerationId generation, BackendCall call, boolean isRepeatable) {
+    void startPlainCall(GenerationId generation, BackendCall call) {
         register(
                 generation,
                 http.call(
@@ -67,7 +67,7 @@
                         call.path(),
                         call.headers(),
                         call.body().bytes(),
-                        isRepeatable,
+                        false,
                         new PlainResponseListener(generation)));
     }
 
--- a/gateway/src/main/java/io/hornbeamscale/gateway/BackendClient.java
+++ b/gateway/src/main/java/io/hornbeamscale/gateway/BackendClient.java
@@ -8,7 +8,9 @@
 import java.util.ArrayDeque;
 import java.util.Deque;
 import java.util.HashMap;
+import java.util.Iterator;
 import java.util.Map;
+import java.util.Optional;
 import java.util.concurrent.RejectedExecutionException;
 import java.util.function.Consumer;
 import org.xnio.XnioIoThread;
@@ -64,7 +66,7 @@
      */
     public BackendExchange send(Endpoint to, Request request, BackendExchange.Listener listener, long nowMillis) {
         BackendExchange exchange = new BackendExchange(this, to, request, listener);
-        PooledConnection connection = takeIdle(to, request.mayRepeat(), nowMillis);
+        PooledConnection connection = takeIdle(to, request, nowMillis);
         if (connection != null) {
             exchange.sendOn(connection);
         } else {
@@ -159,23 +161,56 @@
         }
     }
 
-    private PooledConnection takeIdle(Endpoint to, boolean mayRepeat, long nowMillis) {
+    private PooledConnection takeIdle(Endpoint to, Request request, long nowMillis) {
         Deque<PooledConnection> connections = idle.get(to);
-        if (connections == null) {
+        if (connections == null || request.reuse() == Reuse.NONE) {
             return null;
         }
-        for (PooledConnection c = connections.peekLast(); c != null; c = connections.peekLast()) {
+        for (Iterator<PooledConnection> newest = connections.descendingIterator(); newest.hasNext(); ) {
+            PooledConnection c = newest.next();
             if (!c.isOpen() || nowMillis >= c.expiresAtMillis()) {
-                connections.pollLast();
+                newest.remove();
                 c.close();
                 continue;
             }
             boolean isRecentlyUsed = nowMillis - c.idleSinceMillis() <= MAX_IDLE_MILLIS_WITHOUT_REPEAT;
-            return mayRepeat || isRecentlyUsed ? connections.pollLast() : null;
+            if (request.reuse() == Reuse.RECENTLY_USED && !isRecentlyUsed) {
+                return null;
+            }
+            if (!c.hasSent(request.requestId())) {
+                newest.remove();
+                return c;
+            }
         }
         return null;
     }
 
+    /** Which connections a request may share with earlier and later requests. */
+    public enum Reuse {
+        /** Any kept connection: the request may be sent again if its outcome is unknown. */
+        ANY,
+        /** Only one that was used a short while ago, as the server may close an idle one at any moment. */
+        RECENTLY_USED,
+        /**
+         * A connection of its own, since nothing tells the response from one that the server sends late or twice.
+         */
+        NONE;
+
+        /**
+         * Returns the policy for a caller's request.
+         *
+         * @param requestId the id that the server repeats in its response, empty if the request has none
+         * @param mayRepeat whether the request may be sent again if its outcome is unknown
+         * @return the policy, never null
+         */
+        static Reuse of(Optional<String> requestId, boolean mayRepeat) {
+            if (requestId.isEmpty()) {
+                return NONE;
+            }
+            return mayRepeat ? ANY : RECENTLY_USED;
+        }
+    }
+
     /**
      * A request to a server.
      *
@@ -184,7 +219,8 @@
      * @param headers the headers without the content length
      * @param body the body, empty for none
      * @param hasLength whether the length of the body is sent even if it is empty
-     * @param mayRepeat whether the request may be sent again if its outcome is unknown
+     * @param requestId the id of the caller's request, empty for other calls; no connection carries an id twice
+     * @param reuse which connections the request may share
      * @param connectTimeoutMillis how long opening a connection may take, in milliseconds
      */
     public record Request(
@@ -193,6 +229,7 @@
             HeaderMap headers,
             ByteBuffer body,
             boolean hasLength,
-            boolean mayRepeat,
+            Optional<String> requestId,
+            Reuse reuse,
             long connectTimeoutMillis) {}
 }
--- a/gateway/src/main/java/io/hornbeamscale/gateway/BackendExchange.java
+++ b/gateway/src/main/java/io/hornbeamscale/gateway/BackendExchange.java
@@ -114,6 +114,7 @@
             return;
         }
         connection = used;
+        used.recordSend(request.requestId());
         ClientRequest head =
                 new ClientRequest().setMethod(new HttpString(request.method())).setPath(request.target());
         for (HeaderValues values : request.headers()) {
@@ -239,7 +240,7 @@
         if (!end()) {
             return;
         }
-        if (isReleasable && isRequestWritten && connection.isOpen()) {
+        if (isReusable()) {
             client.release(to, connection, serverIdleTimeoutMillis, ControlLoop.now());
         } else {
             connection.close();
@@ -247,6 +248,14 @@
         listener.completed();
     }
 
+    private boolean isReusable() {
+        return isReleasable
+                && isRequestWritten
+                && request.reuse() != BackendClient.Reuse.NONE
+                && !connection.isExhausted()
+                && connection.isOpen();
+    }
+
     private void fail(Failure failure, String reason) {
         if (end()) {
             closeConnection();
--- a/gateway/src/main/java/io/hornbeamscale/gateway/BufferedCall.java
+++ b/gateway/src/main/java/io/hornbeamscale/gateway/BufferedCall.java
@@ -4,6 +4,7 @@
 import io.undertow.util.HeaderMap;
 import io.undertow.util.Headers;
 import java.nio.ByteBuffer;
+import java.util.Optional;
 import java.util.concurrent.TimeUnit;
 import org.xnio.XnioExecutor;
 import org.xnio.XnioIoThread;
@@ -29,6 +30,7 @@
      * @param method the HTTP method, not null
      * @param path the path with its query, not null
      * @param body the body as JSON, empty for none, not null
+     * @param reuse which connections the call may share, not null
      * @param timeoutMillis the time limit for the complete response, in milliseconds
      * @param callback is called once at the end, not null
      * @return the exchange, never null; if it is cancelled, the callback is not called
@@ -40,6 +42,7 @@
             String method,
             String path,
             byte[] body,
+            BackendClient.Reuse reuse,
             long timeoutMillis,
             Callback callback) {
         HeaderMap headers = new HeaderMap();
@@ -49,7 +52,14 @@
         }
         boolean hasLength = !method.equals("GET") && !method.equals("DELETE");
         BackendClient.Request request = new BackendClient.Request(
-                method, path, headers, ByteBuffer.wrap(body), hasLength, true, CONNECT_TIMEOUT_MILLIS);
+                method,
+                path,
+                headers,
+                ByteBuffer.wrap(body),
+                hasLength,
+                Optional.empty(),
+                reuse,
+                CONNECT_TIMEOUT_MILLIS);
         ResponseReader reader = new ResponseReader(callback);
         BackendExchange exchange = client.send(to, request, reader, ControlLoop.now());
         reader.startTimeout(thread, exchange, timeoutMillis);
--- a/gateway/src/main/java/io/hornbeamscale/gateway/Gateway.java
+++ b/gateway/src/main/java/io/hornbeamscale/gateway/Gateway.java
@@ -148,7 +148,8 @@
                 new QuarantineController(QUARANTINE_MILLIS, System.currentTimeMillis() - ControlLoop.now(), random),
                 news -> control.execute(() -> peers.broadcast(QuarantineCodec.encode(news), ControlLoop.now())),
                 new QuarantineStore(store, schema.systemPrefix(), traffic)::call));
-        leavingServers = new LeavingServerPoller(traffic, server -> control.execute(() -> serverLeaving(server)));
+        leavingServers = new LeavingServerPoller(
+                traffic, new BackendClient(thread, buffers), server -> control.execute(() -> serverLeaving(server)));
         String address = settings.ip() + ":" + settings.peerPort();
         registration = new EntryRegistration(
                 store,
--- a/gateway/src/main/java/io/hornbeamscale/gateway/LeavingServerPoller.java
+++ b/gateway/src/main/java/io/hornbeamscale/gateway/LeavingServerPoller.java
@@ -22,12 +22,19 @@
     private static final long REPORT_TIMEOUT_MILLIS = 800;
 
     private final TrafficState traffic;
+    private final BackendClient client;
     private final Consumer<FleetServer> onLeaving;
     private final Set<String> pendingServers = new HashSet<>();
     private boolean isActive;
 
-    LeavingServerPoller(TrafficState traffic, Consumer<FleetServer> onLeaving) {
+    /**
+     * Creates a poller that is not active.
+     *
+     * @param client sends only reports, since a report that a server sends late must not meet a caller's request
+     */
+    LeavingServerPoller(TrafficState traffic, BackendClient client, Consumer<FleetServer> onLeaving) {
         this.traffic = traffic;
+        this.client = client;
         this.onLeaving = onLeaving;
     }
 
@@ -56,12 +63,13 @@
         }
         ExchangeCodec.EngineCall call = traffic.codec().reportCall();
         BufferedCall.send(
-                traffic.client(),
+                client,
                 traffic.thread(),
                 server.registration().address(),
                 call.method(),
                 call.path(),
                 call.body().getBytes(StandardCharsets.UTF_8),
+                BackendClient.Reuse.ANY,
                 REPORT_TIMEOUT_MILLIS,
                 (status, body) -> {
                     pendingServers.remove(server.id());
--- a/gateway/src/main/java/io/hornbeamscale/gateway/PlainRelay.java
+++ b/gateway/src/main/java/io/hornbeamscale/gateway/PlainRelay.java
@@ -229,7 +229,8 @@
                     traffic().codec().encodeBackendRequest(request().headers(), fields),
                     request().body().duplicate(),
                     request().hasLength(),
-                    isRepeatable(),
+                    request().head().requestId(),
+                    BackendClient.Reuse.of(request().head().requestId(), isRepeatable()),
                     CONNECT_TIMEOUT_MILLIS);
             traffic()
                     .log()
--- a/gateway/src/main/java/io/hornbeamscale/gateway/StreamAttempt.java
+++ b/gateway/src/main/java/io/hornbeamscale/gateway/StreamAttempt.java
@@ -97,7 +97,8 @@
                 traffic.codec().encodeBackendRequest(request.headers(), fields),
                 request.body().duplicate(),
                 request.hasLength(),
-                false,
+                request.head().requestId(),
+                BackendClient.Reuse.of(request.head().requestId(), false),
                 CONNECT_TIMEOUT_MILLIS);
         traffic.log()
                 .streamSent(
--- a/gateway/src/main/java/io/hornbeamscale/gateway/StreamMove.java
+++ b/gateway/src/main/java/io/hornbeamscale/gateway/StreamMove.java
@@ -44,7 +44,7 @@
     StreamMove(StreamRelay relay, StreamAttempt source) {
         this.relay = relay;
         this.source = source;
-        refused.add(source.server().id());
+        excludeUnusable();
     }
 
     void begin(long nowMillis) {
@@ -85,7 +85,7 @@
         if (chosen.isEmpty()) {
             // A target without room may get some when one of its streams ends.
             refused.clear();
-            refused.add(source.server().id());
+            excludeUnusable();
             retry(this::chooseTarget);
             return;
         }
@@ -102,6 +102,12 @@
         copy();
     }
 
+    /** Excludes the source and the servers that must not get the request again, whether or not they have room. */
+    private void excludeUnusable() {
+        refused.add(source.server().id());
+        refused.addAll(relay.refused());
+    }
+
     private void copy() {
         tries++;
         Endpoint to = target.registration().address();
@@ -161,6 +167,7 @@
                 engineCall.method(),
                 engineCall.path(),
                 engineCall.body().getBytes(StandardCharsets.UTF_8),
+                BackendClient.Reuse.NONE,
                 COPY_TIMEOUT_MILLIS,
                 done);
     }
--- a/gateway/src/main/java/io/hornbeamscale/gateway/StreamRelay.java
+++ b/gateway/src/main/java/io/hornbeamscale/gateway/StreamRelay.java
@@ -38,7 +38,12 @@
     private static final long MIN_BACKUP_TOKENS = 100;
 
     private final GenerationSize size;
+    /**
+     * The servers that refused the request or did not accept a connection. None of them gets the request again: a server may
+     * repeat its refusal late, and nothing tells that copy from the response to a second send.
+     */
     private final Set<String> refused = new HashSet<>();
+
     private int sends;
     private StreamAttempt current;
     private StreamAttempt next;
@@ -169,12 +174,12 @@
 
     /** Handles a refusal: the server has not run the request. */
     void notRun(StreamAttempt from, String why) {
+        refused.add(from.server().id());
         if (from == next) {
             handOverFailed(from, why);
             return;
         }
         long now = ControlLoop.now();
-        refused.add(from.server().id());
         current = null;
         boolean mayRepeat = sends < MAX_SENDS
                 && traffic().repeats().tryRetry(request().service().name(), now);
@@ -183,10 +188,7 @@
             return;
         }
         traffic().log().repeated(request(), from.server(), why);
-        if (!tryPlace()) {
-            refused.clear();
-            awaitRoom(now);
-        }
+        placeOrWait(now, why);
     }
 
     /** Handles a failed connect: the server has not received the request. */
@@ -200,8 +202,8 @@
         current = null;
         if (sends >= MAX_SENDS) {
             fail(ErrorKind.NO_BACKEND, RETRY_AFTER_MILLIS, why);
-        } else if (!tryPlace()) {
-            awaitRoom(ControlLoop.now());
+        } else {
+            placeOrWait(ControlLoop.now(), why);
         }
     }
 
@@ -340,8 +342,27 @@
         }
     }
 
+    /** Returns the servers that must not get the request, or a continuation of it, again. */
+    Set<String> refused() {
+        return Set.copyOf(refused);
+    }
+
+    /** Sends the request to a server that has not refused it, waits for such a server, or gives up if there is none. */
+    private void placeOrWait(long nowMillis, String why) {
+        if (tryPlace()) {
+            return;
+        }
+        List<FleetServer> servers = servers();
+        if (!servers.isEmpty() && servers.stream().allMatch(s -> refused.contains(s.id()))) {
+            fail(ErrorKind.OVERLOADED, RETRY_AFTER_MILLIS, "no server is left after: " + why);
+        } else {
+            awaitRoom(nowMillis);
+        }
+    }
+
     private Optional<FleetServer> usableBackup() {
         return current.backup()
+                .filter(b -> !refused.contains(b.id()))
                 .flatMap(b -> traffic().server(b.id()))
                 .filter(b -> b.isReady() && traffic().health().isUsable(b.id(), ControlLoop.now()));
     }
@@ -353,7 +374,14 @@
         return traffic()
                 .generationPlacement()
                 .chooseBackup(
-                        servers(), engine(), size, server, nowMillis, traffic().random());
+                        servers().stream()
+                                .filter(s -> !refused.contains(s.id()))
+                                .toList(),
+                        engine(),
+                        size,
+                        server,
+                        nowMillis,
+                        traffic().random());
     }
 
     private List<FleetServer> servers() {
