Tell the store's availability from other entries while not watching

An entry that waited for its retry heard of four working watches and stopped watching; the retry was dropped, so the entry took every later removal for a lapse of the outage. A failed single call led to the same state. Change: an entry that does not watch counts the store as available, as it stops only while enough others reach it; after a failed call it calls until the store answers.

--- a/gateway/src/main/java/io/hornbeamscale/gateway/Gateway.java
+++ b/gateway/src/main/java/io/hornbeamscale/gateway/Gateway.java
@@ -253,7 +253,7 @@
         long now = ControlLoop.now();
         fleet.tick(now);
         follower.tick(now);
-        follower.setWatching(watches.isWatching(now));
+        follower.setWatching(watches.isWatching(now), now);
         publishFleet();
         boolean isStoreSilent = follower.isStoreLost() && now - peerStoreSeenMillis > STORE_SILENCE_MILLIS;
         thread.execute(() -> leavingServers.setActive(isStoreSilent));
--- a/gateway/src/main/java/io/hornbeamscale/gateway/StoreFollower.java
+++ b/gateway/src/main/java/io/hornbeamscale/gateway/StoreFollower.java
@@ -137,17 +137,25 @@
     }
 
     /**
-     * Starts or stops watching the store. An entry that does not watch learns changes from other entries only, so it
-     * treats the store as unavailable until its own first call after a start succeeds.
+     * Starts or stops watching the store. Whether the store is available, which decides if a removed registration may have
+     * expired in an outage, is told by the entry's own calls while it watches. An entry stops watching only if enough other
+     * entries reach the store, so the store counts as available to it until it watches again, whatever its own calls
+     * find. After a start, the store counts as unavailable until the first call succeeds.
      */
-    void setWatching(boolean isEnabled) {
+    void setWatching(boolean isEnabled, long nowMillis) {
         if (isWatching == isEnabled) {
             return;
         }
         isWatching = isEnabled;
         log.storeEvent(isEnabled ? "watch_started" : "watch_stopped", "revision " + knownRevision);
-        if (isEnabled && !isCalling) {
+        if (!isEnabled) {
+            fleet.storeAnswered(nowMillis);
+            return;
+        }
+        if (isStoreLost || !isCalling) {
             fleet.storeLost();
+        }
+        if (!isCalling) {
             watchRevision = Math.max(watchRevision, knownRevision);
             watch();
         }
@@ -219,9 +227,10 @@
         watch();
     }
 
+    /** Makes the next call if the entry watches, or has to find out when the store answers it again. */
     private void watch() {
-        isCalling = isWatching;
-        if (!isWatching) {
+        isCalling = isWatching || isStoreLost;
+        if (!isCalling) {
             return;
         }
         store.watch("", watchRevision, WATCH_WAIT_MILLIS, result -> control.accept(() -> watched(result)));
@@ -267,7 +276,9 @@
     }
 
     private void storeLost(StoreResult result, Runnable retry) {
-        fleet.storeLost();
+        if (isWatching) {
+            fleet.storeLost();
+        }
         if (!isStoreLost) {
             isStoreLost = true;
             log.storeEvent("store_lost", String.valueOf(result));
--- a/gateway/src/test/java/io/hornbeamscale/gateway/StoreFollowerTest.java
+++ b/gateway/src/test/java/io/hornbeamscale/gateway/StoreFollowerTest.java
@@ -182,7 +182,7 @@
         @BeforeEach
         void list() {
             store.reply(items(false, 10, item("doc", 4, "7"), item("servers/a", 5, "tales")));
-            follower.setWatching(false);
+            follower.setWatching(false, ControlLoop.now());
         }
 
         @Test
@@ -197,14 +197,14 @@
         void theNextWatchStartsFromWhatOtherEntriesToldOf() {
             store.reply(items(false, 10));
             follower.applyFromPeer(List.of(item("doc", 20, "8")), 10, 20, 0);
-            follower.setWatching(true);
+            follower.setWatching(true, ControlLoop.now());
             assertEquals("watch after 20", store.lastCall());
             assertTrue(follower.hasWorkingWatch());
         }
 
         @Test
         void theCallInProgressContinuesAsTheNextWatch() {
-            follower.setWatching(true);
+            follower.setWatching(true, ControlLoop.now());
             store.reply(items(false, 12));
             assertEquals("watch after 12", store.lastCall());
         }
@@ -231,7 +231,7 @@
         @Test
         void aRemovalRightAfterTheNextStartIsNotTrustedAtOnce() {
             store.reply(items(false, 10));
-            follower.setWatching(true);
+            follower.setWatching(true, ControlLoop.now());
             store.reply(items(false, 12, StoreItem.removed("servers/a", 12)));
             fleet.tick(ControlLoop.now());
             assertTrue(isListed("a"));
@@ -240,6 +240,79 @@
         }
     }
 
+    /**
+     * After an outage, other entries reach the store first, so an entry stops watching while it waits for its retry. It treated the
+     * store as unavailable for good and kept every server whose registration was removed.
+     */
+    @Nested
+    class WatchThatStopsWhileTheStoreIsLost {
+        @BeforeEach
+        void list() {
+            store.reply(items(false, 10, item("doc", 4, "7"), item("servers/a", 5, "tales")));
+            store.reply(new StoreResult.Unavailable("no answer"));
+            follower.setWatching(false, ControlLoop.now());
+        }
+
+        @Test
+        void callsUntilTheStoreAnswers() {
+            delayedTasks.remove().run();
+            assertEquals("watch after 10", store.lastCall());
+            store.reply(new StoreResult.Unavailable("no answer"));
+            delayedTasks.remove().run();
+            store.reply(items(false, 10));
+            assertFalse(follower.isStoreLost());
+            assertFalse(store.hasPendingCall());
+        }
+
+        @Test
+        void trustsRemovalsThatOtherEntriesPassOn() {
+            follower.applyFromPeer(List.of(StoreItem.removed("servers/a", 12)), 10, 12, ControlLoop.now());
+            fleet.tick(ControlLoop.now());
+            assertTrue(isListed("a"), "the registration may have expired in the outage");
+            passLapseGracePeriod();
+            assertFalse(isListed("a"));
+        }
+
+        @Test
+        void countsTheStoreAsUnavailableOnceItStartsAgain() {
+            follower.setWatching(true, ControlLoop.now());
+            follower.applyFromPeer(List.of(StoreItem.removed("servers/a", 12)), 10, 12, ControlLoop.now());
+            passLapseGracePeriod();
+            assertTrue(isListed("a"));
+            assertEquals(1, delayedTasks.size(), "only one chain of calls");
+        }
+    }
+
+    /** A single call that failed left an entry without a watch in the same state. */
+    @Nested
+    class SingleCallThatFails {
+        @BeforeEach
+        void list() {
+            store.reply(items(false, 10, item("doc", 4, "7"), item("servers/a", 5, "tales")));
+            follower.setWatching(false, ControlLoop.now());
+            store.reply(items(false, 10));
+            follower.catchUp();
+            store.reply(new StoreResult.Unavailable("no answer"));
+        }
+
+        @Test
+        void isRepeatedUntilTheStoreAnswers() {
+            delayedTasks.remove().run();
+            store.reply(items(false, 12, item("doc", 12, "8")));
+            assertEquals(List.of(7L, 8L), versions);
+            assertFalse(follower.isStoreLost());
+            assertFalse(store.hasPendingCall());
+        }
+
+        @Test
+        void doesNotAffectRemovalsThatOtherEntriesPassOn() {
+            passLapseGracePeriod();
+            follower.applyFromPeer(List.of(StoreItem.removed("servers/a", 12)), 10, 12, ControlLoop.now());
+            passLapseGracePeriod();
+            assertFalse(isListed("a"));
+        }
+    }
+
     @Nested
     class OtherEntries {
         @BeforeEach
