End the process when one of its threads ends with an error

Cause: an Error on the control thread or on the thread of the frames ended only that thread; the process stayed alive without following the store or hearing other entries, and nothing restarted it. Conclusion: errors that a library catches on the traffic thread are logged there and do not end the process.

--- a/daemon/src/main/java/io/hornbeamscale/daemon/Main.java
+++ b/daemon/src/main/java/io/hornbeamscale/daemon/Main.java
@@ -38,6 +38,7 @@
      * @param args the arguments, not null
      */
     public static void main(String[] args) {
+        Thread.setDefaultUncaughtExceptionHandler(new FatalErrorHandler(Runtime.getRuntime()::halt));
         int status = run(args);
         if (status != 0) {
             System.exit(status);
--- a/wire/src/main/java/io/hornbeamscale/wire/FrameLoop.java
+++ b/wire/src/main/java/io/hornbeamscale/wire/FrameLoop.java
@@ -185,7 +185,7 @@
                 for (Runnable task = tasks.poll(); task != null; task = tasks.poll()) {
                     task.run();
                 }
-            } catch (IOException | RuntimeException e) {
+            } catch (IOException | RuntimeException | StackOverflowError e) {
                 LOG.error("an event of the frame loop failed; the loop continues", e);
             }
         }
@@ -231,7 +231,7 @@
             }
         } catch (IOException e) {
             connection.end("cannot connect: " + e.getMessage());
-        } catch (RuntimeException e) {
+        } catch (RuntimeException | StackOverflowError e) {
             LOG.error("a listener failed; its connection is closed", e);
             connection.end("internal error: " + e);
         }
