--- a/gateway/src/main/java/io/hornbeamscale/gateway/DecisionLog.java
+++ b/gateway/src/main/java/io/hornbeamscale/gateway/DecisionLog.java
@@ -27,6 +27,13 @@
     private final Logger process = LogManager.getLogger("process");
     private final Map<String, LineBudget> budgets = new HashMap<>();
 
+    /** Logs an unexpected error. */
+    void failure(String action, Throwable error) {
+        if (isAllowed("failure")) {
+            process.error("An error occurred while {}.", action, error);
+        }
+    }
+
     /** Logs that a request without streaming was sent to a server. */
     void sent(RelayRequest request, FleetServer server, int attempt, long remainingMillis, ServerLoad load) {
         if (isAllowed("sent")) {
--- a/gateway/src/main/java/io/hornbeamscale/gateway/StoreFollower.java
+++ b/gateway/src/main/java/io/hornbeamscale/gateway/StoreFollower.java
@@ -173,7 +173,7 @@
         }
         isCalling = true;
         watchRevision = Math.max(watchRevision, knownRevision);
-        store.watch("", watchRevision, WATCH_WAIT_MILLIS, result -> control.accept(() -> watched(result)));
+        callWatch();
         return true;
     }
 
@@ -193,7 +193,7 @@
     }
 
     private void list(String afterKey, List<StoreItem> previousItems, long completeRevision) {
-        store.list("", afterKey, result -> control.accept(() -> listed(result, previousItems, completeRevision)));
+        store.list("", afterKey, result -> handle(() -> listed(result, previousItems, completeRevision), this::start));
     }
 
     private void listed(StoreResult result, List<StoreItem> previousItems, long completeRevision) {
@@ -233,7 +233,26 @@
         if (!isCalling) {
             return;
         }
-        store.watch("", watchRevision, WATCH_WAIT_MILLIS, result -> control.accept(() -> watched(result)));
+        callWatch();
+    }
+
+    private void callWatch() {
+        store.watch("", watchRevision, WATCH_WAIT_MILLIS, result -> handle(() -> watched(result), this::start));
+    }
+
+    /**
+     * Handles a result on the control thread. The next call follows from the handler, so after an unexpected error the
+     * store is listed again; otherwise the entry would follow it no longer.
+     */
+    private void handle(Runnable handler, Runnable retry) {
+        control.accept(() -> {
+            try {
+                handler.run();
+            } catch (RuntimeException | StackOverflowError e) {
+                log.failure("handling a result of the store", e);
+                executeLater.accept(MAX_RETRY_PAUSE_MILLIS, retry);
+            }
+        });
     }
 
     private void watched(StoreResult result) {
@@ -287,8 +306,18 @@
         pauseMillis = Math.min(MAX_RETRY_PAUSE_MILLIS, pauseMillis * 2);
     }
 
-    /** Returns whether the item was not known. */
+    /** Applies an item; one that cannot be handled is logged and does not affect the others. */
     private boolean apply(StoreItem item, String source, long nowMillis) {
+        try {
+            return applyChecked(item, source, nowMillis);
+        } catch (RuntimeException | StackOverflowError e) {
+            log.failure("applying the item " + item.key() + " at revision " + item.revision(), e);
+            return false;
+        }
+    }
+
+    /** Returns whether the item was not known. */
+    private boolean applyChecked(StoreItem item, String source, long nowMillis) {
         StoreItem known = items.get(item.key());
         if (known != null && known.revision() >= item.revision()) {
             return false;
--- a/gateway/src/test/java/io/hornbeamscale/gateway/StoreFollowerTest.java
+++ b/gateway/src/test/java/io/hornbeamscale/gateway/StoreFollowerTest.java
@@ -30,6 +30,7 @@
     private final Deque<Runnable> delayedTasks = new ArrayDeque<>();
     private final List<String> passedOn = new ArrayList<>();
     private int changes;
+    private boolean isListenerFailing;
     private StoreFollower follower;
 
     @BeforeEach
@@ -54,6 +55,9 @@
 
                     @Override
                     public void changesApplied() {
+                        if (isListenerFailing) {
+                            throw new IllegalStateException("the listener fails");
+                        }
                         changes++;
                     }
 
@@ -177,6 +181,29 @@
         }
     }
 
+    /** An error in the handling of one item ended the chain of calls, and the entry followed the store no longer. */
+    @Nested
+    class UnexpectedError {
+        @Test
+        void ofOneItemDoesNotAffectTheOthers() {
+            store.reply(items(false, 10, item("servers/error", 3, "x"), item("doc", 4, "7")));
+            assertEquals(List.of(7L), versions);
+            assertEquals("watch after 10", store.lastCall());
+        }
+
+        @Test
+        void ofAListenerIsFollowedByANewList() {
+            store.reply(items(false, 10));
+            isListenerFailing = true;
+            store.reply(items(false, 11, item("doc", 11, "8")));
+            isListenerFailing = false;
+            delayedTasks.remove().run();
+            assertEquals("list after ", store.lastCall());
+            store.reply(items(false, 11, item("doc", 11, "8")));
+            assertEquals("watch after 11", store.lastCall());
+        }
+    }
+
     @Nested
     class WithoutAWatch {
         @BeforeEach
@@ -475,6 +502,9 @@
 
         @Override
         public Optional<ServerRegistration> decodeServer(String id, byte[] value) {
+            if (id.equals("error")) {
+                throw new IllegalStateException("the decoder fails");
+            }
             String service = new String(value, StandardCharsets.UTF_8);
             return service.equals("broken")
                     ? Optional.empty()
