--- a/gateway/src/main/java/io/hornbeamscale/gateway/Relay.java
+++ b/gateway/src/main/java/io/hornbeamscale/gateway/Relay.java
@@ -1,8 +1,11 @@
 package io.hornbeamscale.gateway;
 
+import io.hornbeamscale.core.error.BackendResponses;
 import io.hornbeamscale.core.error.ErrorKind;
+import io.hornbeamscale.core.error.RunOutcome;
 import io.undertow.server.HttpServerExchange;
 import io.undertow.util.HeaderMap;
+import java.util.Optional;
 import java.util.concurrent.TimeUnit;
 import org.xnio.XnioExecutor;
 
@@ -14,6 +17,8 @@
      */
     static final long RESPONSE_MARGIN_MILLIS = 10;
 
+    static final String EXIT_BEFORE_RESPONSE = "the process may exit before the response";
+
     private final TrafficState traffic;
     private final HttpServerExchange exchange;
     private final CallerResponse response;
@@ -75,13 +80,38 @@
         return "";
     }
 
-    /** Sends a server's complete response to the caller. */
+    /**
+     * Returns why a response cannot be the server's response to this request, empty if it can. Must be called for each
+     * response before its outcome is used.
+     */
+    final Optional<String> mismatch(int status, BackendResponseHead head) {
+        if (!head.requestId().equals(request.head().requestId())) {
+            return Optional.of("the response belongs to another request");
+        }
+        if (head.statesNotRun() && BackendResponses.outcome(status, true) != RunOutcome.NOT_RUN) {
+            return Optional.of("status " + status + " with a statement that the request has not run");
+        }
+        return Optional.empty();
+    }
+
+    /**
+     * Sends the complete response of a server that ran the request to the caller. A status that callers take as the
+     * promise that the request has not run is replaced.
+     */
     final void forwardResponse(int status, HeaderMap headers, byte[] body, String why) {
+        if (BackendResponses.isNotRunStatus(status)) {
+            fail(
+                    ErrorKind.OUTCOME_UNKNOWN,
+                    -1,
+                    "status " + status + " without a statement that it has not run, " + why);
+            return;
+        }
         if (!end()) {
             return;
         }
         exchange.setStatusCode(status);
         traffic.codec().copyResponseHeaders(headers, exchange.getResponseHeaders());
+        closeConnectionIfStopping();
         response.respond(body);
         finished(status, why);
     }
@@ -90,6 +120,7 @@
     final void startForwarding(int status, HeaderMap headers) {
         exchange.setStatusCode(status);
         traffic.codec().copyResponseHeaders(headers, exchange.getResponseHeaders());
+        closeConnectionIfStopping();
         response.start();
     }
 
@@ -102,9 +133,14 @@
     }
 
     /**
-     * Ends the request with an error response of this entry, or by closing the connection if a response has started.
+     * Ends the request with an error response of this entry, or by closing the connection if a response has started. A
+     * request that may have run never gets a status that promises the contrary.
      */
     final void fail(ErrorKind kind, long retryAfterMillis, String why) {
+        if (mayHaveRun() && BackendResponses.isNotRunStatus(LocalErrorResponses.status(kind))) {
+            fail(ErrorKind.OUTCOME_UNKNOWN, -1, why);
+            return;
+        }
         if (!end()) {
             return;
         }
@@ -119,10 +155,40 @@
         traffic.codec()
                 .encodeLocalResponse(
                         exchange.getResponseHeaders(), request.head().requestId(), retryAfterMillis);
+        closeConnectionIfStopping();
         response.respond(LocalErrorResponses.body(kind));
         finished(status, kind.code() + ": " + why);
     }
 
+    /**
+     * Refuses the request if it has not run and the process may exit before its time limit.
+     *
+     * @return whether the request was refused
+     */
+    final boolean refuseIfStopping() {
+        if (isEnded || mayHaveRun() || !traffic.stop().isRefused(request)) {
+            return false;
+        }
+        fail(ErrorKind.DRAINING, 0, EXIT_BEFORE_RESPONSE);
+        return true;
+    }
+
+    /** Ends the request because the process exits now. */
+    final void endForExit() {
+        if (mayHaveRun()) {
+            fail(ErrorKind.OUTCOME_UNKNOWN, -1, "the process exits before the response is complete");
+        } else {
+            fail(ErrorKind.DRAINING, 0, EXIT_BEFORE_RESPONSE);
+        }
+    }
+
+    /** Lets the caller send its next request to another entry. */
+    private void closeConnectionIfStopping() {
+        if (traffic.stop().isStopping()) {
+            exchange.setPersistent(false);
+        }
+    }
+
     private void deadlinePassed() {
         if (isEnded) {
             return;
--- a/gateway/src/main/java/io/hornbeamscale/gateway/StoreFollower.java
+++ b/gateway/src/main/java/io/hornbeamscale/gateway/StoreFollower.java
@@ -137,17 +137,25 @@
     }
 
     /**
-     * Starts or stops watching the store. An entry that does not watch learns changes from other entries only, so it
-     * treats the store as unavailable until its own first call after a start succeeds.
+     * Starts or stops watching the store. Whether the store is available, which decides if a removed registration may have
+     * expired in an outage, is told by the entry's own calls while it watches. An entry stops watching only if enough other
+     * entries reach the store, so the store counts as available to it until it watches again, whatever its own calls
+     * find. After a start, the store counts as unavailable until the first call succeeds.
      */
-    void setWatching(boolean isEnabled) {
+    void setWatching(boolean isEnabled, long nowMillis) {
         if (isWatching == isEnabled) {
             return;
         }
         isWatching = isEnabled;
         log.storeEvent(isEnabled ? "watch_started" : "watch_stopped", "revision " + knownRevision);
-        if (isEnabled && !isCalling) {
+        if (!isEnabled) {
+            fleet.storeAnswered(nowMillis);
+            return;
+        }
+        if (isStoreLost || !isCalling) {
             fleet.storeLost();
+        }
+        if (!isCalling) {
             watchRevision = Math.max(watchRevision, knownRevision);
             watch();
         }
@@ -165,7 +173,7 @@
         }
         isCalling = true;
         watchRevision = Math.max(watchRevision, knownRevision);
-        store.watch("", watchRevision, WATCH_WAIT_MILLIS, result -> control.accept(() -> watched(result)));
+        callWatch();
         return true;
     }
 
@@ -185,7 +193,7 @@
     }
 
     private void list(String afterKey, List<StoreItem> previousItems, long completeRevision) {
-        store.list("", afterKey, result -> control.accept(() -> listed(result, previousItems, completeRevision)));
+        store.list("", afterKey, result -> handle(() -> listed(result, previousItems, completeRevision), this::start));
     }
 
     private void listed(StoreResult result, List<StoreItem> previousItems, long completeRevision) {
@@ -219,12 +227,32 @@
         watch();
     }
 
+    /** Makes the next call if the entry watches, or has to find out when the store answers it again. */
     private void watch() {
-        isCalling = isWatching;
-        if (!isWatching) {
+        isCalling = isWatching || isStoreLost;
+        if (!isCalling) {
             return;
         }
-        store.watch("", watchRevision, WATCH_WAIT_MILLIS, result -> control.accept(() -> watched(result)));
+        callWatch();
+    }
+
+    private void callWatch() {
+        store.watch("", watchRevision, WATCH_WAIT_MILLIS, result -> handle(() -> watched(result), this::start));
+    }
+
+    /**
+     * Handles a result on the control thread. The next call follows from the handler, so after an unexpected error the
+     * store is listed again; otherwise the entry would follow it no longer.
+     */
+    private void handle(Runnable handler, Runnable retry) {
+        control.accept(() -> {
+            try {
+                handler.run();
+            } catch (RuntimeException | StackOverflowError e) {
+                log.failure("handling a result of the store", e);
+                executeLater.accept(MAX_RETRY_PAUSE_MILLIS, retry);
+            }
+        });
     }
 
     private void watched(StoreResult result) {
@@ -267,7 +295,9 @@
     }
 
     private void storeLost(StoreResult result, Runnable retry) {
-        fleet.storeLost();
+        if (isWatching) {
+            fleet.storeLost();
+        }
         if (!isStoreLost) {
             isStoreLost = true;
             log.storeEvent("store_lost", String.valueOf(result));
@@ -276,8 +306,18 @@
         pauseMillis = Math.min(MAX_RETRY_PAUSE_MILLIS, pauseMillis * 2);
     }
 
-    /** Returns whether the item was not known. */
+    /** Applies an item; one that cannot be handled is logged and does not affect the others. */
     private boolean apply(StoreItem item, String source, long nowMillis) {
+        try {
+            return applyChecked(item, source, nowMillis);
+        } catch (RuntimeException | StackOverflowError e) {
+            log.failure("applying the item " + item.key() + " at revision " + item.revision(), e);
+            return false;
+        }
+    }
+
+    /** Returns whether the item was not known. */
+    private boolean applyChecked(StoreItem item, String source, long nowMillis) {
         StoreItem known = items.get(item.key());
         if (known != null && known.revision() >= item.revision()) {
             return false;
--- a/gateway/src/test/java/io/hornbeamscale/gateway/StoreFollowerTest.java
+++ b/gateway/src/test/java/io/hornbeamscale/gateway/StoreFollowerTest.java
@@ -30,6 +30,7 @@
     private final Deque<Runnable> delayedTasks = new ArrayDeque<>();
     private final List<String> passedOn = new ArrayList<>();
     private int changes;
+    private boolean isListenerFailing;
     private StoreFollower follower;
 
     @BeforeEach
@@ -54,6 +55,9 @@
 
                     @Override
                     public void changesApplied() {
+                        if (isListenerFailing) {
+                            throw new IllegalStateException("the listener fails");
+                        }
                         changes++;
                     }
 
@@ -177,12 +181,35 @@
         }
     }
 
+    /** An error in the handling of one item ended the chain of calls, and the entry followed the store no longer. */
+    @Nested
+    class UnexpectedError {
+        @Test
+        void ofOneItemDoesNotAffectTheOthers() {
+            store.reply(items(false, 10, item("servers/error", 3, "x"), item("doc", 4, "7")));
+            assertEquals(List.of(7L), versions);
+            assertEquals("watch after 10", store.lastCall());
+        }
+
+        @Test
+        void ofAListenerIsFollowedByANewList() {
+            store.reply(items(false, 10));
+            isListenerFailing = true;
+            store.reply(items(false, 11, item("doc", 11, "8")));
+            isListenerFailing = false;
+            delayedTasks.remove().run();
+            assertEquals("list after ", store.lastCall());
+            store.reply(items(false, 11, item("doc", 11, "8")));
+            assertEquals("watch after 11", store.lastCall());
+        }
+    }
+
     @Nested
     class WithoutAWatch {
         @BeforeEach
         void list() {
             store.reply(items(false, 10, item("doc", 4, "7"), item("servers/a", 5, "tales")));
-            follower.setWatching(false);
+            follower.setWatching(false, ControlLoop.now());
         }
 
         @Test
@@ -197,14 +224,14 @@
         void theNextWatchStartsFromWhatOtherEntriesToldOf() {
             store.reply(items(false, 10));
             follower.applyFromPeer(List.of(item("doc", 20, "8")), 10, 20, 0);
-            follower.setWatching(true);
+            follower.setWatching(true, ControlLoop.now());
             assertEquals("watch after 20", store.lastCall());
             assertTrue(follower.hasWorkingWatch());
         }
 
         @Test
         void theCallInProgressContinuesAsTheNextWatch() {
-            follower.setWatching(true);
+            follower.setWatching(true, ControlLoop.now());
             store.reply(items(false, 12));
             assertEquals("watch after 12", store.lastCall());
         }
@@ -231,7 +258,7 @@
         @Test
         void aRemovalRightAfterTheNextStartIsNotTrustedAtOnce() {
             store.reply(items(false, 10));
-            follower.setWatching(true);
+            follower.setWatching(true, ControlLoop.now());
             store.reply(items(false, 12, StoreItem.removed("servers/a", 12)));
             fleet.tick(ControlLoop.now());
             assertTrue(isListed("a"));
@@ -240,6 +267,79 @@
         }
     }
 
+    /**
+     * After an outage, other entries reach the store first, so an entry stops watching while it waits for its retry. It treated the
+     * store as unavailable for good and kept every server whose registration was removed.
+     */
+    @Nested
+    class WatchThatStopsWhileTheStoreIsLost {
+        @BeforeEach
+        void list() {
+            store.reply(items(false, 10, item("doc", 4, "7"), item("servers/a", 5, "tales")));
+            store.reply(new StoreResult.Unavailable("no answer"));
+            follower.setWatching(false, ControlLoop.now());
+        }
+
+        @Test
+        void callsUntilTheStoreAnswers() {
+            delayedTasks.remove().run();
+            assertEquals("watch after 10", store.lastCall());
+            store.reply(new StoreResult.Unavailable("no answer"));
+            delayedTasks.remove().run();
+            store.reply(items(false, 10));
+            assertFalse(follower.isStoreLost());
+            assertFalse(store.hasPendingCall());
+        }
+
+        @Test
+        void trustsRemovalsThatOtherEntriesPassOn() {
+            follower.applyFromPeer(List.of(StoreItem.removed("servers/a", 12)), 10, 12, ControlLoop.now());
+            fleet.tick(ControlLoop.now());
+            assertTrue(isListed("a"), "the registration may have expired in the outage");
+            passLapseGracePeriod();
+            assertFalse(isListed("a"));
+        }
+
+        @Test
+        void countsTheStoreAsUnavailableOnceItStartsAgain() {
+            follower.setWatching(true, ControlLoop.now());
+            follower.applyFromPeer(List.of(StoreItem.removed("servers/a", 12)), 10, 12, ControlLoop.now());
+            passLapseGracePeriod();
+            assertTrue(isListed("a"));
+            assertEquals(1, delayedTasks.size(), "only one chain of calls");
+        }
+    }
+
+    /** A single call that failed left an entry without a watch in the same state. */
+    @Nested
+    class SingleCallThatFails {
+        @BeforeEach
+        void list() {
+            store.reply(items(false, 10, item("doc", 4, "7"), item("servers/a", 5, "tales")));
+            follower.setWatching(false, ControlLoop.now());
+            store.reply(items(false, 10));
+            follower.catchUp();
+            store.reply(new StoreResult.Unavailable("no answer"));
+        }
+
+        @Test
+        void isRepeatedUntilTheStoreAnswers() {
+            delayedTasks.remove().run();
+            store.reply(items(false, 12, item("doc", 12, "8")));
+            assertEquals(List.of(7L, 8L), versions);
+            assertFalse(follower.isStoreLost());
+            assertFalse(store.hasPendingCall());
+        }
+
+        @Test
+        void doesNotAffectRemovalsThatOtherEntriesPassOn() {
+            passLapseGracePeriod();
+            follower.applyFromPeer(List.of(StoreItem.removed("servers/a", 12)), 10, 12, ControlLoop.now());
+            passLapseGracePeriod();
+            assertFalse(isListed("a"));
+        }
+    }
+
     @Nested
     class OtherEntries {
         @BeforeEach
@@ -402,6 +502,9 @@
 
         @Override
         public Optional<ServerRegistration> decodeServer(String id, byte[] value) {
+            if (id.equals("error")) {
+                throw new IllegalStateException("the decoder fails");
+            }
             String service = new String(value, StandardCharsets.UTF_8);
             return service.equals("broken")
                     ? Optional.empty()
