Follow the VM list although one of its entries is malformed

Cause: a list with one malformed entry counted as no response, so an entry or agent followed the list no longer while that entry stayed; reported in this form by other operators. Change: a malformed entry is logged and does not affect the others; if it names a node, the last record of that node remains valid, since a node that the list lacks counts as gone.

--- a/external/src/main/java/io/hornbeamscale/external/HttpVmList.java
+++ b/external/src/main/java/io/hornbeamscale/external/HttpVmList.java
@@ -11,12 +11,16 @@
 import java.util.List;
 import java.util.Optional;
 import java.util.concurrent.CompletionStage;
+import org.apache.logging.log4j.LogManager;
+import org.apache.logging.log4j.Logger;
 
 /**
- * An HTTP client of the VM list. A list with a malformed entry is treated as no response, since a partial list would
- * lack nodes. If the platform sends entity tags, an unchanged list is not transferred again.
+ * An HTTP client of the VM list. A malformed entry does not affect the others; if it names a node, the last record of
+ * that node remains valid, since a node that the list lacks counts as gone. If the platform sends entity tags, an
+ * unchanged list is not transferred again.
  */
 public final class HttpVmList implements VmList {
+    private static final Logger LOG = LogManager.getLogger("membership");
     private static final int STATUS_NOT_MODIFIED = 304;
 
     private final RetryingHttpClient client;
@@ -50,22 +54,24 @@
         if (answered.status() == STATUS_NOT_MODIFIED && !previous.etag().isEmpty()) {
             return Optional.of(previous.records());
         }
-        Optional<List<VmRecord>> records = records(JsonBodies.bodyOf(outcome).path("vms"));
+        Optional<List<VmRecord>> records = records(JsonBodies.bodyOf(outcome).path("vms"), previous.records());
         records.ifPresent(list -> cached = new CachedList(answered.etag(), list));
         return records;
     }
 
-    private static Optional<List<VmRecord>> records(JsonNode nodes) {
+    private static Optional<List<VmRecord>> records(JsonNode nodes, List<VmRecord> previous) {
         if (!nodes.isArray()) {
             return Optional.empty();
         }
         List<VmRecord> records = new ArrayList<>();
-        try {
-            for (JsonNode node : nodes) {
+        for (JsonNode node : nodes) {
+            try {
                 records.add(record(node));
+            } catch (IllegalArgumentException e) {
+                LOG.warn("The VM list has a malformed entry: {}", e.getMessage());
+                String name = node.path("node").asText();
+                previous.stream().filter(r -> r.node().value().equals(name)).forEach(records::add);
             }
-        } catch (IllegalArgumentException e) {
-            return Optional.empty();
         }
         return Optional.of(List.copyOf(records));
     }
