Keep one close listener per connection of a caller

Change: CallerConnections, before CallerIdleTimeout, has one listener per connection and notifies the request in progress.

--- a/daemon/src/test/java/io/hornbeamscale/daemon/BrokenOffCallTest.java
+++ b/daemon/src/test/java/io/hornbeamscale/daemon/BrokenOffCallTest.java
@@ -17,7 +17,9 @@
 import org.junit.jupiter.api.Test;
 import org.junit.jupiter.api.io.TempDir;
 
-/** Guards against a plain service's response that breaks off in its head or body and that an agent passes on as whole. */
+/**
+ * Guards against a plain service's response that breaks off in its head or body and that an agent passes on as whole.
+ */
 class BrokenOffCallTest {
     private static final String RESPONSE =
             "HTTP/1.1 200 OK\r\nContent-Type: text/plain\r\nContent-Length: 5\r\n\r\nhello";
--- a/daemon/src/test/java/io/hornbeamscale/daemon/PersistentCaller.java
+++ b/daemon/src/test/java/io/hornbeamscale/daemon/PersistentCaller.java
@@ -3,18 +3,15 @@
 import static java.nio.charset.StandardCharsets.ISO_8859_1;
 
 import io.hornbeamscale.core.fleet.Endpoint;
-import java.io.ByteArrayOutputStream;
 import java.io.IOException;
-import java.io.InputStream;
 import java.io.OutputStream;
 import java.net.InetAddress;
 import java.net.Socket;
-import java.util.Locale;
 import java.util.Random;
 
 /**
- * A caller that sends one request after the other and uses its connection for as long as the gateway keeps it open, until the
- * gateway accepts no connection any more. Its pauses are short or several seconds long.
+ * A caller that sends one request after the other and uses its connection for as long as the gateway keeps it open,
+ * until the gateway accepts no connection any more. Its pauses are short or several seconds long.
  */
 final class PersistentCaller implements Runnable {
     private static final int SHORT_PAUSE_MILLIS = 120;
@@ -63,7 +60,7 @@
             }
             long sentAtNanos = System.nanoTime();
             try {
-                isOpen = receive(socket.getInputStream());
+                isOpen = HttpResponseReader.read(socket.getInputStream()).isKeptOpen();
                 record.completed();
             } catch (IOException e) {
                 record.unanswered(id, sentAtNanos, String.valueOf(e.getMessage()));
@@ -72,7 +69,10 @@
         }
     }
 
-    /** Sends a booking or a stream, with a length or in chunks, in one piece or with a pause before the end of the body. */
+    /**
+     * Sends a booking or a stream, with a length or in chunks, in one piece or with a pause before the end of the
+     * body.
+     */
     private void send(OutputStream out, String id) throws IOException, InterruptedException {
         boolean isStream = random.nextInt(6) == 0;
         boolean isChunked = random.nextBoolean();
@@ -89,48 +89,4 @@
         out.write(end.getBytes(ISO_8859_1));
         out.flush();
     }
-
-    /** Reads a complete response and returns whether the connection stays open. */
-    private static boolean receive(InputStream in) throws IOException {
-        String line = line(in);
-        boolean isOpen = true;
-        long length = -1;
-        while (!line.isEmpty()) {
-            String lower = line.toLowerCase(Locale.ROOT);
-            isOpen &= !lower.equals("connection: close");
-            if (lower.startsWith("content-length:")) {
-                length = Long.parseLong(
-                        lower.substring("content-length:".length()).trim());
-            }
-            line = line(in);
-        }
-        if (length >= 0) {
-            skip(in, length);
-            return isOpen;
-        }
-        long chunk;
-        do {
-            chunk = Long.parseLong(line(in), 16);
-            skip(in, chunk);
-            line(in);
-        } while (chunk > 0);
-        return isOpen;
-    }
-
-    private static void skip(InputStream in, long bytes) throws IOException {
-        if (in.readNBytes((int) bytes).length < bytes) {
-            throw new IOException("the response ended within its body");
-        }
-    }
-
-    private static String line(InputStream in) throws IOException {
-        ByteArrayOutputStream line = new ByteArrayOutputStream();
-        for (int b = in.read(); b != '\n'; b = in.read()) {
-            if (b < 0) {
-                throw new IOException("the connection was closed");
-            }
-            line.write(b);
-        }
-        return line.toString(ISO_8859_1).trim();
-    }
 }
--- a/gateway/src/main/java/io/hornbeamscale/gateway/CallerConnections.java
+++ b/gateway/src/main/java/io/hornbeamscale/gateway/CallerConnections.java
@@ -9,10 +9,11 @@
 import org.xnio.IoUtils;
 
 /**
- * Closes callers' connections that have no request for longer than the document allows. A request that is in transit
- * when its connection is closed has not been read, so the caller may send it again. Runs on the traffic thread.
+ * The open connections of callers: closes those that have no request for longer than the document allows, and notifies
+ * the request in progress if its caller closes the connection. A request that is in transit when its connection is
+ * closed has not been read, so the caller may send it again. Runs on the traffic thread.
  */
-final class CallerIdleTimeout {
+final class CallerConnections {
     /**
      * How much longer than allowed a connection is kept, in milliseconds; covers the caller's clock and the network
      * delay.
@@ -24,18 +25,31 @@
     /** When each connection became idle, in milliseconds, {@link #IN_USE} while it has a request. */
     private final Map<ServerConnection, Long> idleSinceMillis = new HashMap<>();
 
+    private final Map<ServerConnection, Relay> relays = new HashMap<>();
+
     /** Marks a connection as in use until its request ends. */
     void requestStarted(HttpServerExchange exchange) {
         ServerConnection connection = exchange.getConnection();
+        // A close listener stays until the connection closes, so there is one per connection and not per request.
         if (idleSinceMillis.put(connection, IN_USE) == null) {
-            connection.addCloseListener(idleSinceMillis::remove);
+            connection.addCloseListener(this::closed);
         }
         exchange.addExchangeCompleteListener((ended, next) -> {
+            relays.remove(connection);
             idleSinceMillis.computeIfPresent(connection, (c, since) -> ControlLoop.now());
             next.proceed();
         });
     }
 
+    /** Notifies a relay if its caller closes the connection, or has done so already. */
+    void relayStarted(HttpServerExchange exchange, Relay relay) {
+        if (idleSinceMillis.containsKey(exchange.getConnection())) {
+            relays.put(exchange.getConnection(), relay);
+        } else {
+            relay.callerDisconnected();
+        }
+    }
+
     /** Returns the number of connections with a request whose response has not been written completely. */
     int connectionsInUse() {
         return (int) idleSinceMillis.values().stream()
@@ -53,4 +67,12 @@
         });
         expired.forEach(IoUtils::safeClose);
     }
+
+    private void closed(ServerConnection connection) {
+        idleSinceMillis.remove(connection);
+        Relay relay = relays.remove(connection);
+        if (relay != null) {
+            relay.callerDisconnected();
+        }
+    }
 }
--- a/gateway/src/main/java/io/hornbeamscale/gateway/GatewayHandler.java
+++ b/gateway/src/main/java/io/hornbeamscale/gateway/GatewayHandler.java
@@ -33,7 +33,7 @@
 
     private final TrafficState traffic;
     private final Supplier<Optional<RouteDocument>> document;
-    private final CallerIdleTimeout idleTimeout = new CallerIdleTimeout();
+    private final CallerConnections connections = new CallerConnections();
 
     GatewayHandler(TrafficState traffic, Supplier<Optional<RouteDocument>> document) {
         this.traffic = traffic;
@@ -42,18 +42,18 @@
 
     /** Closes callers' connections that were idle for longer than the document allows. */
     void closeIdleConnections(long nowMillis) {
-        document.get().ifPresent(rules -> idleTimeout.closeIdle(rules.limits().idleTimeoutMillis(), nowMillis));
+        document.get().ifPresent(rules -> connections.closeIdle(rules.limits().idleTimeoutMillis(), nowMillis));
     }
 
     /** Returns the number of requests whose response has not been written completely. */
     int openRequests() {
-        return idleTimeout.connectionsInUse();
+        return connections.connectionsInUse();
     }
 
     @Override
     public void handleRequest(HttpServerExchange exchange) {
         long now = ControlLoop.now();
-        idleTimeout.requestStarted(exchange);
+        connections.requestStarted(exchange);
         CallerRequestHead head = traffic.codec().decodeCallerRequest(exchange.getRequestHeaders());
         if (document.get().isPresent()) {
             begin(exchange, head, document.get().get(), now);
@@ -162,6 +162,7 @@
                     ? new StreamRelay(traffic, exchange, request)
                     : new PlainRelay(traffic, exchange, request);
             relay.begin(ControlLoop.now());
+            connections.relayStarted(exchange, relay);
         });
     }
 
--- a/gateway/src/main/java/io/hornbeamscale/gateway/Relay.java
+++ b/gateway/src/main/java/io/hornbeamscale/gateway/Relay.java
@@ -37,7 +37,6 @@
     final void begin(long nowMillis) {
         traffic.relayStarted(this);
         traffic.repeats().recordRequest(request.service().name(), nowMillis);
-        exchange.getConnection().addCloseListener(connection -> callerDisconnected());
         deadline = traffic.thread()
                 .executeAfter(
                         this::deadlinePassed, Math.max(0, request.remainingMillis(nowMillis)), TimeUnit.MILLISECONDS);
@@ -200,7 +199,8 @@
         }
     }
 
-    private void callerDisconnected() {
+    /** Ends the request without a response, as its caller has closed the connection. */
+    final void callerDisconnected() {
         if (end()) {
             cancelAttempts();
             finished(0, "the caller closed the connection");
