--- a/daemon/src/main/java/io/hornbeamscale/daemon/AgentDaemon.java
+++ b/daemon/src/main/java/io/hornbeamscale/daemon/AgentDaemon.java
@@ -27,7 +27,6 @@
 import io.hornbeamscale.core.stream.RetentionLimits;
 import io.hornbeamscale.core.work.BackendCall;
 import io.hornbeamscale.core.work.BackendStatus;
-import io.hornbeamscale.core.work.EngineLoad;
 import io.hornbeamscale.core.work.Payload;
 import io.hornbeamscale.core.work.Reservation;
 import io.hornbeamscale.daemon.control.AgentControlPlane;
@@ -242,12 +241,7 @@
             return;
         }
         long now = ControlLoop.now();
-        EngineLoad load = new EngineLoad(
-                now - node.path("ageMillis").asLong(),
-                node.path("usedTokens").asLong(),
-                node.path("running").asInt(),
-                node.path("preemptions").asLong());
-        carryOut(controller.load(load, now));
+        carryOut(controller.load(EngineLoadReader.read(node, now), now));
     }
 
     /** Recovers the streams of an earlier incarnation that the engine still runs. */
@@ -428,10 +422,7 @@
                 calls.remove(generation);
                 long now = ControlLoop.now();
                 if (EngineErrors.outcomeOf(status, headers) == RunOutcome.UNKNOWN) {
-                    LOG.warn(
-                            "Call {} ended with status {} without a statement that it has not run.",
-                            generation,
-                            status);
+                    LOG.warn("Call {} ended with status {}; it may have run.", generation, status);
                     carryOut(controller.backendFailed(generation, ErrorKind.OUTCOME_UNKNOWN, RunOutcome.UNKNOWN, now));
                     return;
                 }
--- a/daemon/src/main/java/io/hornbeamscale/daemon/BackendHttpClient.java
+++ b/daemon/src/main/java/io/hornbeamscale/daemon/BackendHttpClient.java
@@ -23,9 +23,9 @@
 import org.xnio.channels.StreamSourceChannel;
 
 /**
- * Sends HTTP calls to one backend server. Only the agent's own calls share connections. A caller's call has a connection of
- * its own: the server may close an idle connection at any time, which would leave the outcome of the call unknown, and
- * nothing tells its response from an earlier one that the server sends once more.
+ * Sends HTTP calls to one backend server. Only the agent's own calls share connections. A caller's call has a
+ * connection of its own: the server may close an idle connection at any time, which would leave the outcome of the
+ * call unknown, and nothing tells its response from an earlier one that the server sends once more.
  */
 final class BackendHttpClient {
     private static final int BUFFER_BYTES = 16 * 1024;
--- a/gateway/src/main/java/io/hornbeamscale/gateway/Gateway.java
+++ b/gateway/src/main/java/io/hornbeamscale/gateway/Gateway.java
@@ -208,7 +208,9 @@
         return stopController.isExitDue(ControlLoop.now());
     }
 
-    /** Decides about the exit on the traffic thread, so that no request is accepted between the decision and the exit. */
+    /**
+     * Decides about the exit on the traffic thread, so that no request is accepted between the decision and the exit.
+     */
     private void progressStop() {
         long now = ControlLoop.now();
         if (stopController.isFinalResponseDue(now)) {
--- a/gateway/src/main/java/io/hornbeamscale/gateway/PooledConnection.java
+++ b/gateway/src/main/java/io/hornbeamscale/gateway/PooledConnection.java
@@ -8,9 +8,9 @@
 import org.xnio.IoUtils;
 
 /**
- * A connection to a server, with the time span in which it may be reused and the ids of the requests that were sent on it.
- * A server may send a response once more, late. Its id tells it from the responses to other requests, but not from the
- * response to a later send of the same request, so a connection carries each id only once.
+ * A connection to a server, with the time span in which it may be reused and the ids of the requests that were sent
+ * on it. A server may send a response once more, late. Its id tells it from the responses to other requests, but not
+ * from the response to a later send of the same request, so a connection carries each id only once.
  */
 final class PooledConnection {
     /** The greatest number of requests on one connection, which bounds the memory for their ids. */
--- a/gateway/src/main/java/io/hornbeamscale/gateway/StopController.java
+++ b/gateway/src/main/java/io/hornbeamscale/gateway/StopController.java
@@ -19,7 +19,9 @@
     /** How long a stopping process without requests keeps accepting connections, in milliseconds. */
     private static final long MIN_LINGER_MILLIS = 3_500;
 
-    /** How long after the latest exit the process exits even if its traffic thread does not respond, in milliseconds. */
+    /**
+     * How long after the latest exit the process exits even if its traffic thread does not respond, in milliseconds.
+     */
     private static final long UNRESPONSIVE_MILLIS = 300;
 
     private volatile long graceMillis;
--- a/gateway/src/main/java/io/hornbeamscale/gateway/StoreFollower.java
+++ b/gateway/src/main/java/io/hornbeamscale/gateway/StoreFollower.java
@@ -137,10 +137,10 @@
     }
 
     /**
-     * Starts or stops watching the store. Whether the store is available, which decides if a removed registration may have
-     * expired in an outage, is told by the entry's own calls while it watches. An entry stops watching only if enough other
-     * entries reach the store, so the store counts as available to it until it watches again, whatever its own calls
-     * find. After a start, the store counts as unavailable until the first call succeeds.
+     * Starts or stops watching the store. Whether the store is available, which decides if a removed registration may
+     * have expired in an outage, is told by the entry's own calls while it watches. An entry stops watching only if
+     * enough other entries reach the store, so the store counts as available to it until it watches again, whatever
+     * its own calls find. After a start, the store counts as unavailable until the first call succeeds.
      */
     void setWatching(boolean isEnabled, long nowMillis) {
         if (isWatching == isEnabled) {
--- a/gateway/src/main/java/io/hornbeamscale/gateway/StreamRelay.java
+++ b/gateway/src/main/java/io/hornbeamscale/gateway/StreamRelay.java
@@ -39,8 +39,8 @@
 
     private final GenerationSize size;
     /**
-     * The servers that refused the request or did not accept a connection. None of them gets the request again: a server may
-     * repeat its refusal late, and nothing tells that copy from the response to a second send.
+     * The servers that refused the request or did not accept a connection. None of them gets the request again: a
+     * server may repeat its refusal late, and nothing tells that copy from the response to a second send.
      */
     private final Set<String> refused = new HashSet<>();
 
--- a/gateway/src/test/java/io/hornbeamscale/gateway/StoreFollowerTest.java
+++ b/gateway/src/test/java/io/hornbeamscale/gateway/StoreFollowerTest.java
@@ -268,8 +268,8 @@
     }
 
     /**
-     * After an outage, other entries reach the store first, so an entry stops watching while it waits for its retry. It treated the
-     * store as unavailable for good and kept every server whose registration was removed.
+     * After an outage, other entries reach the store first, so an entry stops watching while it waits for its retry.
+     * It treated the store as unavailable for good and kept every server whose registration was removed.
      */
     @Nested
     class WatchThatStopsWhileTheStoreIsLost {
