Set the relay of a connection before it begins

Cause: a request that ended while it began left its relay with the connection after its exchange, where it could replace the relay of the next request on that connection, whose caller's disconnect would then not be noticed. Change: CallerConnections knows the relay before it begins; a relay whose caller has closed the connection does not begin. Conclusion: none.

--- a/gateway/src/main/java/io/hornbeamscale/gateway/CallerConnections.java
+++ b/gateway/src/main/java/io/hornbeamscale/gateway/CallerConnections.java
@@ -41,13 +41,17 @@
         });
     }
 
-    /** Notifies a relay if its caller closes the connection, or has done so already. */
-    void relayStarted(HttpServerExchange exchange, Relay relay) {
-        if (idleSinceMillis.containsKey(exchange.getConnection())) {
-            relays.put(exchange.getConnection(), relay);
-        } else {
-            relay.callerDisconnected();
+    /**
+     * Sets the relay that is notified if the caller closes the connection before its response is complete.
+     *
+     * @return whether the connection is open; if not, the relay must not begin
+     */
+    boolean setRelay(HttpServerExchange exchange, Relay relay) {
+        if (!idleSinceMillis.containsKey(exchange.getConnection())) {
+            return false;
         }
+        relays.put(exchange.getConnection(), relay);
+        return true;
     }
 
     /** Returns the number of connections with a request whose response has not been written completely. */
--- a/gateway/src/main/java/io/hornbeamscale/gateway/GatewayHandler.java
+++ b/gateway/src/main/java/io/hornbeamscale/gateway/GatewayHandler.java
@@ -161,8 +161,11 @@
             Relay relay = request.isGeneration()
                     ? new StreamRelay(traffic, exchange, request)
                     : new PlainRelay(traffic, exchange, request);
-            relay.begin(ControlLoop.now());
-            connections.relayStarted(exchange, relay);
+            if (connections.setRelay(exchange, relay)) {
+                relay.begin(ControlLoop.now());
+            } else {
+                traffic.log().refused(request.id(), 0, "the caller has closed the connection");
+            }
         });
     }
 
