--- a/core/src/main/java/io/hornbeamscale/core/fleet/FleetController.java
+++ b/core/src/main/java/io/hornbeamscale/core/fleet/FleetController.java
@@ -25,6 +25,7 @@
     private final Map<String, TrackedServer> servers = new HashMap<>();
     private boolean isStoreUnavailable = true;
     private long storeAvailableSinceMillis = Long.MIN_VALUE / 2;
+    private final Set<String> evacuatedZones = new HashSet<>();
     private FleetSnapshot snapshot = FleetSnapshot.EMPTY;
     private boolean isChanged;
 
@@ -46,7 +47,11 @@
             servers.put(
                     registration.id(),
                     new TrackedServer(
-                            tracked.registration, revision, tracked.leavingSinceMillis, tracked.removedAtMillis));
+                            tracked.registration,
+                            revision,
+                            tracked.leavingSinceMillis,
+                            tracked.removedAtMillis,
+                            tracked.coldUntilMillis));
             return;
         }
         long leavingSince = 0;
@@ -56,7 +61,9 @@
                     && registration.isSameIncarnation(tracked.registration);
             leavingSince = isAlreadyLeaving ? tracked.leavingSinceMillis : nowMillis;
         }
-        servers.put(registration.id(), new TrackedServer(registration, revision, leavingSince, 0));
+        servers.put(
+                registration.id(),
+                new TrackedServer(registration, revision, leavingSince, 0, nowMillis + registration.slowStartMillis()));
         isChanged = true;
     }
 
@@ -76,7 +83,14 @@
                 || tracked.registration.startedAtMillis() != startedAtMillis) {
             return false;
         }
-        servers.put(id, new TrackedServer(tracked.registration, tracked.revision, nowMillis, tracked.removedAtMillis));
+        servers.put(
+                id,
+                new TrackedServer(
+                        tracked.registration,
+                        tracked.revision,
+                        nowMillis,
+                        tracked.removedAtMillis,
+                        tracked.coldUntilMillis));
         isChanged = true;
         return true;
     }
@@ -113,6 +127,17 @@
         }
     }
 
+    /**
+     * Records whether the operators have evacuated an availability zone, so that its servers get no requests.
+     *
+     * @param zone the name of the zone, not null
+     * @param isEvacuated whether the zone is evacuated now
+     */
+    public void zoneEvacuated(String zone, boolean isEvacuated) {
+        Arguments.notNull(zone, "zone");
+        isChanged |= isEvacuated ? evacuatedZones.add(zone) : evacuatedZones.remove(zone);
+    }
+
     /** Records that the store does not respond. */
     public void storeLost() {
         isStoreUnavailable = true;
@@ -139,8 +164,12 @@
         for (Map.Entry<String, TrackedServer> each : servers.entrySet()) {
             TrackedServer tracked = each.getValue();
             if (tracked.removedAtMillis > 0 && tracked.leavingSinceMillis == 0 && !isInGrace(nowMillis)) {
-                each.setValue(
-                        new TrackedServer(tracked.registration, tracked.revision, nowMillis, tracked.removedAtMillis));
+                each.setValue(new TrackedServer(
+                        tracked.registration,
+                        tracked.revision,
+                        nowMillis,
+                        tracked.removedAtMillis,
+                        tracked.coldUntilMillis));
                 isChanged = true;
             }
         }
@@ -156,12 +185,15 @@
     public FleetSnapshot snapshot() {
         if (isChanged) {
             isChanged = false;
-            snapshot = new FleetSnapshot(servers.values().stream()
-                    .map(s -> new FleetServer(
-                            s.registration,
-                            s.leavingSinceMillis > 0 ? ServerState.LEAVING : ServerState.READY,
-                            s.leavingSinceMillis))
-                    .toList());
+            snapshot = new FleetSnapshot(
+                    servers.values().stream()
+                            .map(s -> new FleetServer(
+                                    s.registration,
+                                    s.leavingSinceMillis > 0 ? ServerState.LEAVING : ServerState.READY,
+                                    s.leavingSinceMillis,
+                                    s.coldUntilMillis))
+                            .toList(),
+                    evacuatedZones);
         }
         return snapshot;
     }
@@ -172,7 +204,7 @@
         if (leavingSince == 0 && !mayHaveLapsed) {
             leavingSince = nowMillis;
         }
-        return new TrackedServer(tracked.registration, revision, leavingSince, nowMillis);
+        return new TrackedServer(tracked.registration, revision, leavingSince, nowMillis, tracked.coldUntilMillis);
     }
 
     private boolean isInGrace(long nowMillis) {
@@ -180,5 +212,9 @@
     }
 
     private record TrackedServer(
-            ServerRegistration registration, long revision, long leavingSinceMillis, long removedAtMillis) {}
+            ServerRegistration registration,
+            long revision,
+            long leavingSinceMillis,
+            long removedAtMillis,
+            long coldUntilMillis) {}
 }
--- a/core/src/main/java/io/hornbeamscale/core/fleet/FleetSnapshot.java
+++ b/core/src/main/java/io/hornbeamscale/core/fleet/FleetSnapshot.java
@@ -8,6 +8,7 @@
 import java.util.List;
 import java.util.Map;
 import java.util.Optional;
+import java.util.Set;
 
 /** All backend servers known to an entry at one time. Immutable. */
 public final class FleetSnapshot {
@@ -19,13 +20,25 @@
 
     private final Map<String, FleetServer> byId;
     private final Map<String, List<FleetServer>> readyByService;
+    private final Set<String> evacuatedZones;
 
     /**
-     * Creates a snapshot.
+     * Creates a snapshot without evacuated zones.
      *
      * @param servers the servers, with distinct ids, not null
      */
     public FleetSnapshot(Collection<FleetServer> servers) {
+        this(servers, Set.of());
+    }
+
+    /**
+     * Creates a snapshot.
+     *
+     * @param servers the servers, with distinct ids, not null
+     * @param evacuatedZones the availability zones whose servers get no requests, not null
+     */
+    public FleetSnapshot(Collection<FleetServer> servers, Set<String> evacuatedZones) {
+        this.evacuatedZones = Set.copyOf(evacuatedZones);
         Map<String, FleetServer> ids = new HashMap<>();
         Map<String, List<FleetServer>> ready = new HashMap<>();
         for (FleetServer server : servers) {
@@ -51,6 +64,15 @@
         return readyByService.getOrDefault(service, List.of());
     }
 
+    /**
+     * Returns the availability zones that the operators have evacuated.
+     *
+     * @return the names of the zones, never null
+     */
+    public Set<String> evacuatedZones() {
+        return evacuatedZones;
+    }
+
     /**
      * Finds a server.
      *
--- a/core/src/main/java/io/hornbeamscale/core/limit/ServerRateLimits.java
+++ b/core/src/main/java/io/hornbeamscale/core/limit/ServerRateLimits.java
@@ -1,48 +1,27 @@
 package io.hornbeamscale.core.limit;
 
-import io.hornbeamscale.core.membership.RendezvousHash;
-import io.hornbeamscale.core.util.Arguments;
 import java.util.Collection;
 import java.util.HashMap;
-import java.util.List;
 import java.util.Map;
 import java.util.OptionalDouble;
 import java.util.OptionalLong;
-import java.util.Set;
-import java.util.TreeSet;
-import java.util.function.Function;
 
 /**
  * Keeps this entry within its share of the request rates that servers name. A server that is short of capacity names in
- * its responses how many requests a second it takes from all entries together. The shares follow from the server's id
- * and the names of the entries, so that their sum is bounded without messages. Not safe for use by several threads.
+ * its responses how many requests a second it takes from all entries together; {@link RateShares} divides them. Not
+ * safe for use by several threads.
  */
 public final class ServerRateLimits {
     /** The least rate that a limit is taken for, in requests per second, so that the end of a limit is noticed. */
     private static final double MIN_REQUESTS_PER_SECOND = 0.1;
 
-    /**
-     * The number of entries that share a limit, besides one for each two requests per second. Each of them may send one
-     * request at any time after a pause, so the number bounds the excess over the rate.
-     */
-    private static final int EXTRA_SHARERS = 4;
-
+    /** The number of entries that share a limit, per request per second. */
     private static final double SHARERS_PER_REQUEST_PER_SECOND = 0.5;
 
-    /**
-     * The sum of the shares of the entries that share a limit, as a multiple of it. Their demand differs, so that not
-     * every one uses its whole share.
-     */
-    private static final double SHARES_SUM = 1.25;
-
-    /** The share of a limit that all other entries use together to learn whether it still holds. */
-    private static final double PROBING_SHARE = 0.05;
-
     private static final double MILLIS_PER_SECOND = 1_000;
 
-    private final String self;
+    private final RateShares shares;
     private final Map<String, Limit> limits = new HashMap<>();
-    private Set<String> entries;
 
     /**
      * Creates limits for an entry that knows no others.
@@ -50,8 +29,7 @@
      * @param self the name of this entry, not null
      */
     public ServerRateLimits(String self) {
-        this.self = Arguments.notNull(self, "self");
-        this.entries = Set.of(self);
+        shares = new RateShares(self, SHARERS_PER_REQUEST_PER_SECOND);
     }
 
     /**
@@ -60,10 +38,9 @@
      * @param others the names of the other entries, not null
      */
     public void setOtherEntries(Collection<String> others) {
-        Set<String> all = new TreeSet<>(others);
-        all.add(self);
-        entries = all;
-        limits.forEach((server, limit) -> limit.intervalMillis = intervalMillis(limit.requestsPerSecond, rank(server)));
+        shares.setOtherEntries(others);
+        limits.forEach(
+                (server, limit) -> limit.intervalMillis = shares.intervalMillis(server, limit.requestsPerSecond));
     }
 
     /**
@@ -92,12 +69,12 @@
         if (limit == null) {
             limit = new Limit();
             limits.put(server, limit);
-            limit.nextMillis = nowMillis + firstPauseMillis(rate, rank(server));
+            limit.nextMillis = nowMillis + shares.firstPauseMillis(server, rate);
         }
         limit.namedAtMillis = nowMillis;
         if (isChanged) {
             limit.requestsPerSecond = rate;
-            limit.intervalMillis = intervalMillis(rate, rank(server));
+            limit.intervalMillis = shares.intervalMillis(server, rate);
             limit.nextMillis = Math.min(limit.nextMillis, nowMillis + limit.intervalMillis);
         }
         return isChanged;
@@ -161,31 +138,6 @@
         limits.remove(server);
     }
 
-    private int rank(String server) {
-        List<String> order = RendezvousHash.owners(entries, Function.identity(), server, entries.size());
-        return order.indexOf(self);
-    }
-
-    private int sharers(double requestsPerSecond) {
-        return (int) Math.min(
-                entries.size(), Math.floor(SHARERS_PER_REQUEST_PER_SECOND * requestsPerSecond) + EXTRA_SHARERS);
-    }
-
-    private long intervalMillis(double requestsPerSecond, int rank) {
-        int sharers = sharers(requestsPerSecond);
-        double seconds = rank < sharers
-                ? sharers / ((sharers > 1 ? SHARES_SUM : 1) * requestsPerSecond)
-                : (entries.size() - sharers) / (PROBING_SHARE * requestsPerSecond);
-        return Math.max(1, (long) Math.ceil(seconds * MILLIS_PER_SECOND));
-    }
-
-    /** Returns a pause that differs between the entries, so that they do not all send at once. */
-    private long firstPauseMillis(double requestsPerSecond, int rank) {
-        int sharers = sharers(requestsPerSecond);
-        double share = rank < sharers ? (rank + 1.0) / sharers : (rank + 1.0 - sharers) / (entries.size() - sharers);
-        return (long) (intervalMillis(requestsPerSecond, rank) * share);
-    }
-
     private static final class Limit {
         private double requestsPerSecond;
         private long intervalMillis;
--- a/core/src/main/java/io/hornbeamscale/core/placement/GenerationPlacement.java
+++ b/core/src/main/java/io/hornbeamscale/core/placement/GenerationPlacement.java
@@ -1,12 +1,12 @@
 package io.hornbeamscale.core.placement;
 
+import io.hornbeamscale.core.eligibility.SendTerms;
+import io.hornbeamscale.core.eligibility.ServerEligibility;
 import io.hornbeamscale.core.fleet.FleetServer;
-import io.hornbeamscale.core.limit.ServerRateLimits;
 import io.hornbeamscale.core.route.EngineSpec;
 import java.util.Collection;
 import java.util.Map;
 import java.util.Optional;
-import java.util.Set;
 import java.util.function.ToDoubleFunction;
 import java.util.random.RandomGenerator;
 
@@ -81,7 +81,7 @@
 
     /**
      * The cost of a server that is still slow after its start, in milliseconds. Other servers are preferred while they
-     * have room.
+     * have room. Where a service states what rate a cold server bears, the rate protects the server instead.
      */
     private static final double SLOW_START_COST_MILLIS = 2_000;
 
@@ -101,7 +101,7 @@
     private final HealthTracker health;
     private final EventIntervalTracker intervals;
     private final CopyLinkSchedule links;
-    private final ServerRateLimits limits;
+    private final ServerEligibility eligibility;
     private final String zone;
     private final Map<String, String> regions;
 
@@ -112,7 +112,7 @@
      * @param health the health of the servers, not null
      * @param intervals the time per event of the servers, not null
      * @param links the schedule of state copies between servers, not null
-     * @param limits the request rates that the servers name, not null
+     * @param eligibility decides which servers may get a request, not null
      * @param zone the zone of this entry, not null
      * @param regions the region names by zone name, not null
      */
@@ -121,14 +121,14 @@
             HealthTracker health,
             EventIntervalTracker intervals,
             CopyLinkSchedule links,
-            ServerRateLimits limits,
+            ServerEligibility eligibility,
             String zone,
             Map<String, String> regions) {
         this.loads = loads;
         this.health = health;
         this.intervals = intervals;
         this.links = links;
-        this.limits = limits;
+        this.eligibility = eligibility;
         this.zone = zone;
         this.regions = Map.copyOf(regions);
     }
@@ -139,7 +139,7 @@
      * @param servers the servers that take requests, not null
      * @param engine the engine, not null
      * @param size the size of the generation, not null
-     * @param excluded the ids of servers that must not be chosen, not null
+     * @param terms the terms of the request, not null
      * @param nowMillis the present time
      * @param random the source of random costs, not null
      * @return the server, empty if no usable server has room and takes a request now
@@ -148,13 +148,13 @@
             Collection<FleetServer> servers,
             EngineSpec engine,
             GenerationSize size,
-            Set<String> excluded,
+            SendTerms terms,
             long nowMillis,
             RandomGenerator random) {
-        return cheapest(servers, excluded, nowMillis, random, server -> {
+        return cheapest(servers, terms, nowMillis, random, server -> {
             ServerLoad load = loads.of(server.id(), nowMillis);
-            return hasRoom(load, engine, size) && isWithinLimit(server, nowMillis)
-                    ? cost(server, load, zone)
+            return hasRoom(load, engine, size)
+                    ? cost(server, load, zone, nowMillis)
                             + slowdownCost(server, servers, size)
                             + strandedCost(server, servers, engine, size, nowMillis)
                     : Double.POSITIVE_INFINITY;
@@ -169,7 +169,7 @@
      * @param engine the engine, not null
      * @param size the size of the generation, not null
      * @param source the server on which it runs, not null
-     * @param excluded the ids of servers that must not be chosen, not null
+     * @param terms the terms of the request, not null
      * @param nowMillis the present time
      * @param random the source of random costs, not null
      * @return the server, near the source if possible; empty if no usable server of the region has a free slot
@@ -179,14 +179,14 @@
             EngineSpec engine,
             GenerationSize size,
             FleetServer source,
-            Set<String> excluded,
+            SendTerms terms,
             long nowMillis,
             RandomGenerator random) {
         double queuedCopies = loads.of(source.id(), nowMillis).requests() * QUEUED_COPY_SHARE;
-        return cheapest(servers, excluded, nowMillis, random, server -> {
+        return cheapest(servers, terms, nowMillis, random, server -> {
             ServerLoad load = loads.of(server.id(), nowMillis);
-            return load.requests() < engine.slots() && isSameRegion(server, source) && isWithinLimit(server, nowMillis)
-                    ? cost(server, load, source.registration().zone())
+            return load.requests() < engine.slots() && isSameRegion(server, source)
+                    ? cost(server, load, source.registration().zone(), nowMillis)
                             + slowdownCost(server, servers, size)
                             + copyCost(server, source, engine, size, nowMillis)
                             + queuedCopies * copyMillis(server, source, engine, size)
@@ -204,6 +204,7 @@
      * @param engine the engine, not null
      * @param size the size of the generation, not null
      * @param runsOn the server that runs the generation, not null
+     * @param terms the terms of the request, which is not sent to the server that gets the copy, not null
      * @param nowMillis the present time
      * @param random the source of random costs, not null
      * @return the server, near the one that runs the generation if possible; empty if no usable server of the region
@@ -214,15 +215,19 @@
             EngineSpec engine,
             GenerationSize size,
             FleetServer runsOn,
+            SendTerms terms,
             long nowMillis,
             RandomGenerator random) {
-        return cheapest(servers, Set.of(runsOn.id()), nowMillis, random, server -> {
+        return cheapest(servers, terms.uncounted(), nowMillis, random, server -> {
+            if (server.id().equals(runsOn.id())) {
+                return Double.POSITIVE_INFINITY;
+            }
             ServerLoad load = loads.of(server.id(), nowMillis);
             boolean hasMemory = load.tokens() + size.totalTokens() <= MAX_BACKUP_MEMORY_SHARE * engine.memoryTokens();
             if (!hasMemory || !isSameRegion(server, runsOn)) {
                 return Double.POSITIVE_INFINITY;
             }
-            return cost(server, load, runsOn.registration().zone())
+            return cost(server, load, runsOn.registration().zone(), nowMillis)
                     + BACKUP_MEMORY_COST_MILLIS * load.tokens() / engine.memoryTokens()
                     + slowdownCost(server, servers, size)
                     + copyCost(server, runsOn, engine, size, nowMillis);
@@ -231,14 +236,14 @@
 
     private Optional<FleetServer> cheapest(
             Collection<FleetServer> servers,
-            Set<String> excluded,
+            SendTerms terms,
             long nowMillis,
             RandomGenerator random,
             ToDoubleFunction<FleetServer> costs) {
         FleetServer best = null;
         double bestCost = Double.POSITIVE_INFINITY;
         for (FleetServer server : servers) {
-            if (excluded.contains(server.id()) || !health.isUsable(server.id(), nowMillis)) {
+            if (!eligibility.check(server, terms, nowMillis).isAllowed()) {
                 continue;
             }
             double cost = costs.applyAsDouble(server) + random.nextDouble() * MAX_JITTER_MILLIS;
@@ -250,10 +255,6 @@
         return Optional.ofNullable(best);
     }
 
-    private boolean isWithinLimit(FleetServer server, long nowMillis) {
-        return limits.waitMillis(server.id(), nowMillis) == 0;
-    }
-
     /**
      * Returns whether two servers are in one region. State is not copied between regions: their link carries about 20
      * Mbit/s in total, and the state of one generation has several Gbit.
@@ -334,10 +335,10 @@
         return CopyLinkSchedule.copyMillis(engine, size.promptTokens(), isSameZone);
     }
 
-    private double cost(FleetServer server, ServerLoad load, String fromZone) {
+    private double cost(FleetServer server, ServerLoad load, String fromZone, long nowMillis) {
         double cost = load.requests() * REQUEST_COST_MILLIS + load.prefillTokens() / PREFILL_TOKENS_PER_MILLI;
         cost += health.failureRate(server.id()) * FAILURE_COST_MILLIS;
-        if (server.registration().slowStartMillis() > 0) {
+        if (server.isCold(nowMillis) && !eligibility.hasColdRate(server)) {
             cost += SLOW_START_COST_MILLIS;
         }
         return switch (ZoneDistance.between(fromZone, server.registration().zone(), regions)) {
--- a/core/src/main/java/io/hornbeamscale/core/placement/HealthTracker.java
+++ b/core/src/main/java/io/hornbeamscale/core/placement/HealthTracker.java
@@ -83,6 +83,17 @@
         return health == null || nowMillis >= health.ejectedUntilMillis;
     }
 
+    /**
+     * Returns when the ejection of a server ends.
+     *
+     * @param server the id of the server, not null
+     * @return the time, in milliseconds, {@link Long#MIN_VALUE} if the server is not ejected
+     */
+    public long ejectedUntilMillis(String server) {
+        Health health = servers.get(server);
+        return health == null ? Long.MIN_VALUE : health.ejectedUntilMillis;
+    }
+
     /**
      * Records that a request was sent to a server.
      *
--- a/core/src/main/java/io/hornbeamscale/core/placement/PlainPlacement.java
+++ b/core/src/main/java/io/hornbeamscale/core/placement/PlainPlacement.java
@@ -1,11 +1,13 @@
 package io.hornbeamscale.core.placement;
 
+import io.hornbeamscale.core.eligibility.IneligibleReason;
+import io.hornbeamscale.core.eligibility.SendTerms;
+import io.hornbeamscale.core.eligibility.ServerEligibility;
+import io.hornbeamscale.core.eligibility.Verdict;
 import io.hornbeamscale.core.fleet.FleetServer;
-import io.hornbeamscale.core.limit.ServerRateLimits;
 import java.util.Collection;
 import java.util.Map;
 import java.util.Optional;
-import java.util.Set;
 import java.util.random.RandomGenerator;
 
 /**
@@ -34,7 +36,7 @@
 
     private final LoadTracker loads;
     private final HealthTracker health;
-    private final ServerRateLimits limits;
+    private final ServerEligibility eligibility;
     private final String zone;
     private final Map<String, String> regions;
 
@@ -43,47 +45,50 @@
      *
      * @param loads the load of the servers, not null
      * @param health the health of the servers, not null
-     * @param limits the request rates that the servers name, not null
+     * @param eligibility decides which servers may get a request, not null
      * @param zone the zone of this entry, not null
      * @param regions the region names by zone name, not null
      */
     public PlainPlacement(
             LoadTracker loads,
             HealthTracker health,
-            ServerRateLimits limits,
+            ServerEligibility eligibility,
             String zone,
             Map<String, String> regions) {
         this.loads = loads;
         this.health = health;
-        this.limits = limits;
+        this.eligibility = eligibility;
         this.zone = zone;
         this.regions = Map.copyOf(regions);
     }
 
     /**
-     * Chooses a server. Ejected servers are chosen only if there is no other. The request may have to wait for the
-     * limit of the server.
+     * Chooses a server. Ejected servers are chosen only if there is no other. The request may have to wait until the
+     * server may get it.
      *
      * @param servers the servers that take requests, not null
-     * @param excluded the ids of servers that must not be chosen, not null
+     * @param terms the terms of the request, not null
      * @param nowMillis the present time
      * @param random the source of random costs, not null
-     * @return the server, empty if all are excluded
+     * @return the server and the wait, empty if no server may get the request now or at a known time
      */
-    public Optional<FleetServer> choose(
-            Collection<FleetServer> servers, Set<String> excluded, long nowMillis, RandomGenerator random) {
-        FleetServer best = null;
+    public Optional<Choice> choose(
+            Collection<FleetServer> servers, SendTerms terms, long nowMillis, RandomGenerator random) {
+        Choice best = null;
         double bestCost = Double.POSITIVE_INFINITY;
         for (FleetServer server : servers) {
-            if (excluded.contains(server.id())) {
+            Verdict verdict = eligibility.check(server, terms, nowMillis);
+            boolean isEjected = verdict.reason().equals(Optional.of(IneligibleReason.EJECTED));
+            if (!verdict.isAllowed() && !verdict.isDeferred() && !isEjected) {
                 continue;
             }
-            double cost = cost(server, nowMillis) + random.nextDouble() * MAX_JITTER_MILLIS;
-            if (!health.isUsable(server.id(), nowMillis)) {
+            long wait = verdict.isDeferred() ? verdict.waitMillis(nowMillis) : 0;
+            double cost = cost(server, nowMillis) + wait + random.nextDouble() * MAX_JITTER_MILLIS;
+            if (isEjected) {
                 cost += EJECTED_COST_MILLIS;
             }
             if (cost < bestCost) {
-                best = server;
+                best = new Choice(server, wait);
                 bestCost = cost;
             }
         }
@@ -96,11 +101,18 @@
         double work = health.responseMillis(server.id(), DEFAULT_RESPONSE_MILLIS);
         double cost = work * (1 + Math.max(0.0, requests + 1 - slots) / slots) + work * requests / (4.0 * slots);
         cost += health.failureRate(server.id()) * FAILURE_COST_MILLIS;
-        cost += limits.waitMillis(server.id(), nowMillis);
         return switch (ZoneDistance.between(zone, server.registration().zone(), regions)) {
             case SAME_ZONE -> cost;
             case SAME_REGION -> cost + OTHER_ZONE_COST_MILLIS;
             case OTHER_REGION -> cost + OTHER_REGION_COST_MILLIS;
         };
     }
+
+    /**
+     * The chosen server.
+     *
+     * @param server the server
+     * @param waitMillis how long the request must wait before it is sent, in milliseconds, 0 to send it now
+     */
+    public record Choice(FleetServer server, long waitMillis) {}
 }
--- a/core/src/main/java/io/hornbeamscale/core/route/Route.java
+++ b/core/src/main/java/io/hornbeamscale/core/route/Route.java
@@ -17,6 +17,7 @@
  * @param priority the priority, 0 is the most urgent
  * @param maxServers the maximum number of backend servers that one request may be sent to, at least 1
  * @param isPublic whether requests need no customer key
+ * @param allowedRegions the regions in which requests may be served
  */
 public record Route(
         String name,
@@ -29,7 +30,8 @@
         long gapObjectiveMillis,
         int priority,
         int maxServers,
-        boolean isPublic) {
+        boolean isPublic,
+        AllowedRegions allowedRegions) {
     /** Checks the parts. */
     public Route {
         Arguments.notBlank(host, "host");
@@ -39,6 +41,49 @@
         Arguments.positive(targets.size(), "targets");
         Arguments.positive(timeoutMillis, "timeoutMillis");
         Arguments.positive(maxServers, "maxServers");
+        Arguments.notNull(allowedRegions, "allowedRegions");
+    }
+
+    /**
+     * Creates a route whose requests may be served in every region.
+     *
+     * @param name the name, unique in a document
+     * @param host the host name in the request
+     * @param prefix the path prefix, with a slash at both ends
+     * @param kind whether and how requests may be executed again
+     * @param targets the services with their weights, at least one
+     * @param timeoutMillis the maximum time until the complete response, in milliseconds
+     * @param objectiveMillis the objective for the time to the first byte, in milliseconds
+     * @param gapObjectiveMillis the objective for the gap between two events, in milliseconds, 0 if not streaming
+     * @param priority the priority, 0 is the most urgent
+     * @param maxServers the maximum number of backend servers that one request may be sent to, at least 1
+     * @param isPublic whether requests need no customer key
+     */
+    public Route(
+            String name,
+            String host,
+            String prefix,
+            RequestKind kind,
+            List<Target> targets,
+            long timeoutMillis,
+            long objectiveMillis,
+            long gapObjectiveMillis,
+            int priority,
+            int maxServers,
+            boolean isPublic) {
+        this(
+                name,
+                host,
+                prefix,
+                kind,
+                targets,
+                timeoutMillis,
+                objectiveMillis,
+                gapObjectiveMillis,
+                priority,
+                maxServers,
+                isPublic,
+                AllowedRegions.ANY);
     }
 
     /**
--- a/core/src/test/java/io/hornbeamscale/core/placement/GenerationPlacementTest.java
+++ b/core/src/test/java/io/hornbeamscale/core/placement/GenerationPlacementTest.java
@@ -4,6 +4,8 @@
 import static org.junit.jupiter.api.Assertions.assertNotEquals;
 import static org.junit.jupiter.api.Assertions.assertTrue;
 
+import io.hornbeamscale.core.eligibility.SendTerms;
+import io.hornbeamscale.core.eligibility.ServerEligibility;
 import io.hornbeamscale.core.fleet.Endpoint;
 import io.hornbeamscale.core.fleet.FleetServer;
 import io.hornbeamscale.core.fleet.ServerRegistration;
@@ -31,8 +33,9 @@
     private final EventIntervalTracker intervals = new EventIntervalTracker();
     private final CopyLinkSchedule links = new CopyLinkSchedule();
     private final ServerRateLimits limits = new ServerRateLimits("entry");
+    private final ServerEligibility eligibility = new ServerEligibility("entry", health, limits, REGIONS, service -> 0);
     private final GenerationPlacement placement =
-            new GenerationPlacement(loads, health, intervals, links, limits, "z1", REGIONS);
+            new GenerationPlacement(loads, health, intervals, links, eligibility, "z1", REGIONS);
     private final Random random = new Random(3);
 
     private static FleetServer server(String id, String zone) {
@@ -48,7 +51,7 @@
 
     private String choose(GenerationSize size, FleetServer... servers) {
         return placement
-                .choose(List.of(servers), ENGINE, size, Set.of(), 0, random)
+                .choose(List.of(servers), ENGINE, size, SendTerms.ANY, 0, random)
                 .map(FleetServer::id)
                 .orElse("");
     }
@@ -174,7 +177,8 @@
 
         private Optional<String> choose(FleetServer... servers) {
             return placement
-                    .chooseDestination(List.of(servers), ENGINE, LONG, source, Set.of("s"), 0, random)
+                    .chooseDestination(
+                            List.of(servers), ENGINE, LONG, source, SendTerms.ANY.excluding(Set.of("s")), 0, random)
                     .map(FleetServer::id);
         }
 
@@ -219,7 +223,7 @@
     class Backup {
         private Optional<String> choose(FleetServer... servers) {
             return placement
-                    .chooseBackup(List.of(servers), ENGINE, LONG, server("s", "z1"), 0, random)
+                    .chooseBackup(List.of(servers), ENGINE, LONG, server("s", "z1"), SendTerms.ANY, 0, random)
                     .map(FleetServer::id);
         }
 
--- a/core/src/test/java/io/hornbeamscale/core/placement/PlainPlacementTest.java
+++ b/core/src/test/java/io/hornbeamscale/core/placement/PlainPlacementTest.java
@@ -2,6 +2,8 @@
 
 import static org.junit.jupiter.api.Assertions.assertEquals;
 
+import io.hornbeamscale.core.eligibility.SendTerms;
+import io.hornbeamscale.core.eligibility.ServerEligibility;
 import io.hornbeamscale.core.fleet.Endpoint;
 import io.hornbeamscale.core.fleet.FleetServer;
 import io.hornbeamscale.core.fleet.ServerRegistration;
@@ -16,11 +18,13 @@
 
 /** Guards against short requests that go to a full, failing or distant server while another one is free. */
 class PlainPlacementTest {
+    private static final Map<String, String> REGIONS = Map.of("z1", "r1", "z2", "r1", "z3", "r2");
+
     private final LoadTracker loads = new LoadTracker();
     private final HealthTracker health = new HealthTracker();
     private final ServerRateLimits limits = new ServerRateLimits("entry");
-    private final PlainPlacement placement =
-            new PlainPlacement(loads, health, limits, "z1", Map.of("z1", "r1", "z2", "r1", "z3", "r2"));
+    private final ServerEligibility eligibility = new ServerEligibility("entry", health, limits, REGIONS, service -> 0);
+    private final PlainPlacement placement = new PlainPlacement(loads, health, eligibility, "z1", REGIONS);
     private final Random random = new Random(3);
 
     private static FleetServer server(String id, String zone) {
@@ -32,8 +36,8 @@
 
     private String choose(Set<String> excluded, FleetServer... servers) {
         return placement
-                .choose(List.of(servers), excluded, 0, random)
-                .map(FleetServer::id)
+                .choose(List.of(servers), SendTerms.ANY.excluding(excluded), 0, random)
+                .map(choice -> choice.server().id())
                 .orElse("");
     }
 
--- a/gateway/src/main/java/io/hornbeamscale/gateway/BackendResponseHead.java
+++ b/gateway/src/main/java/io/hornbeamscale/gateway/BackendResponseHead.java
@@ -2,6 +2,7 @@
 
 import java.util.Optional;
 import java.util.OptionalDouble;
+import java.util.OptionalLong;
 
 /**
  * The decoded headers of a backend server's response.
@@ -12,6 +13,11 @@
  * @param serverId the id of the server, empty if it is missing
  * @param idleTimeoutMillis how long the server keeps an idle connection, in milliseconds, 0 if unknown
  * @param requestLimit how many requests a second the server takes from all entries together, empty if it names no limit
+ * @param isLeaving whether the server announces that it leaves
+ * @param pauseMillis for how long the server that refuses a request wants no other, in milliseconds, empty if it does
+ *     not tell
+ * @param coldMillis how much longer the server is cold, in milliseconds, empty if it does not tell
+ * @param malformed the names of headers whose value cannot be used, separated by commas, empty if there is none
  */
 public record BackendResponseHead(
         Optional<String> requestId,
@@ -19,4 +25,8 @@
         boolean hasSignature,
         Optional<String> serverId,
         long idleTimeoutMillis,
-        OptionalDouble requestLimit) {}
+        OptionalDouble requestLimit,
+        boolean isLeaving,
+        OptionalDouble pauseMillis,
+        OptionalLong coldMillis,
+        String malformed) {}
--- a/gateway/src/main/java/io/hornbeamscale/gateway/CrashDetector.java
+++ b/gateway/src/main/java/io/hornbeamscale/gateway/CrashDetector.java
@@ -101,7 +101,9 @@
 
     /** Records that the connection to a server broke while it ran a request. */
     void connectionBroke(FleetServer server, RelayRequest request, ResponseProgress progress, long nowMillis) {
-        boolean isReady = traffic.server(server.id()).map(FleetServer::isReady).orElse(false);
+        boolean isReady = traffic.server(server.id())
+                .map(s -> !traffic.eligibility().isLeaving(s))
+                .orElse(false);
         String incarnation = server.id() + "/" + server.registration().startedAtMillis();
         boolean isProbedLately =
                 !request.isGeneration() && nowMillis < nextProbeMillis.getOrDefault(incarnation, Long.MIN_VALUE);
--- a/gateway/src/main/java/io/hornbeamscale/gateway/DecisionLog.java
+++ b/gateway/src/main/java/io/hornbeamscale/gateway/DecisionLog.java
@@ -62,11 +62,16 @@
         }
     }
 
-    /** Logs that no server has room for a stream, which waits at this entry behind the requests ahead of it. */
-    void waits(RelayRequest request, int servers, int ahead, long limitMillis) {
+    /**
+     * Logs that no server has room for a stream, which waits at this entry behind the requests ahead of it.
+     *
+     * @param ineligible what forbids servers, by reason, empty if all of them may get the stream
+     */
+    void waits(RelayRequest request, int servers, String ineligible, int ahead, long limitMillis) {
         if (isAllowed("waits")) {
             requests.info(line("waits", request)
                     .with("servers", servers)
+                    .with("ineligible", ineligible)
                     .with("ahead", ahead)
                     .with("limitMillis", limitMillis));
         }
@@ -165,6 +170,23 @@
         }
     }
 
+    /** Logs that a server asked this entry for a pause, in milliseconds. */
+    void serverPaused(String server, double millis) {
+        if (isAllowed("paused")) {
+            fleet.info(new Line().with("event", "paused").with("server", server).with("millis", Math.round(millis)));
+        }
+    }
+
+    /** Logs that headers of a server's response were ignored because their values cannot be used. */
+    void malformedHeader(String server, String names) {
+        if (isAllowed("malformed_header")) {
+            fleet.info(new Line()
+                    .with("event", "malformed_header")
+                    .with("server", server)
+                    .with("headers", names));
+        }
+    }
+
     /** Logs a change in the known state of a backend server. */
     void serverEvent(String id, String state, String source, long revision) {
         if (isAllowed("server")) {
--- a/gateway/src/main/java/io/hornbeamscale/gateway/Gateway.java
+++ b/gateway/src/main/java/io/hornbeamscale/gateway/Gateway.java
@@ -7,6 +7,7 @@
 import io.hornbeamscale.core.fleet.FleetServer;
 import io.hornbeamscale.core.fleet.FleetSnapshot;
 import io.hornbeamscale.core.fleet.StoreWatchController;
+import io.hornbeamscale.core.limit.EntryRoster;
 import io.hornbeamscale.core.placement.ServerLoad;
 import io.hornbeamscale.core.quarantine.QuarantineController;
 import io.hornbeamscale.core.quarantine.QuarantineUpdate;
@@ -109,7 +110,9 @@
     private final StopController stopController;
     private final GatewayHandler handler;
     private final GatewayServer server;
+    private final EntryRoster roster = new EntryRoster();
     private final Map<String, Long> sentEventMicros = new HashMap<>();
+    private Set<String> rosterNames = Set.of();
     private long nextStatusMillis;
     private long storeLagSinceMillis;
     private long peerStoreSeenMillis;
@@ -138,6 +141,7 @@
         traffic = new TrafficState(thread, blackboard, codec, client, settings, stopController, metrics, log, random);
         traffic.setStatusSender(this::collectStatus);
         control = new ControlLoop("gateway", TICK_MILLIS, this::tick);
+        traffic.setLeavingListener(server -> control.execute(() -> serverLeaving(server, "its response")));
         watches = new StoreWatchController(settings.node());
         MetadataStore store = stores.create(settings.storeAddress(), new BackendClient(thread, buffers), thread);
         follower =
@@ -149,7 +153,9 @@
                 news -> control.execute(() -> peers.broadcast(QuarantineCodec.encode(news), ControlLoop.now())),
                 new QuarantineStore(store, schema.systemPrefix(), traffic)::call));
         leavingServers = new LeavingServerPoller(
-                traffic, new BackendClient(thread, buffers), server -> control.execute(() -> serverLeaving(server)));
+                traffic,
+                new BackendClient(thread, buffers),
+                server -> control.execute(() -> serverLeaving(server, "its report")));
         String address = settings.ip() + ":" + settings.peerPort();
         registration = new EntryRegistration(
                 store,
@@ -257,6 +263,7 @@
         follower.tick(now);
         follower.setWatching(watches.isWatching(now), now);
         publishFleet();
+        updateRoster();
         boolean isStoreSilent = follower.isStoreLost() && now - peerStoreSeenMillis > STORE_SILENCE_MILLIS;
         thread.execute(() -> leavingServers.setActive(isStoreSilent));
         if (now >= nextStatusMillis) {
@@ -271,19 +278,36 @@
         control.execute(() -> sendStatus(loads, pace));
     }
 
-    /** Sends no new requests to a server whose own report says that it leaves, and informs the other entries. */
-    private void serverLeaving(FleetServer server) {
+    /**
+     * Sends no new requests to a server that says itself that it leaves, and informs the other entries.
+     *
+     * @param source what the server said it in
+     */
+    private void serverLeaving(FleetServer server, String source) {
         long started = server.registration().startedAtMillis();
         if (!fleet.leaveAnnounced(server.id(), started, ControlLoop.now())) {
             return;
         }
-        log.serverEvent(server.id(), "leaving", "its report", 0);
+        log.serverEvent(server.id(), "leaving", source, 0);
         publishFleet();
         LeavingMessage.Sign sign =
                 new LeavingMessage.Sign(server.id(), started, settings.node(), 0, ++leavingSignSequence);
         peers.broadcast(new LeavingMessage(List.of(sign)), ControlLoop.now());
     }
 
+    /** Divides budgets and rates among the entries that are known now. */
+    private void updateRoster() {
+        Set<String> others = roster.update(peers.names(), ControlLoop.now());
+        if (others.equals(rosterNames)) {
+            return;
+        }
+        rosterNames = others;
+        thread.execute(() -> {
+            traffic.repeats().setEntries(others.size() + 1);
+            traffic.eligibility().setOtherEntries(others);
+        });
+    }
+
     private void publishFleet() {
         FleetSnapshot snapshot = fleet.snapshot();
         if (blackboard.get(FleetSnapshot.KEY).orElse(null) != snapshot) {
@@ -383,11 +407,7 @@
             } else {
                 peers.remove(name);
             }
-            Set<String> others = peers.names();
-            thread.execute(() -> {
-                traffic.repeats().setEntries(others.size() + 1);
-                traffic.limits().setOtherEntries(others);
-            });
+            updateRoster();
         }
 
         @Override
--- a/gateway/src/main/java/io/hornbeamscale/gateway/GatewayMetrics.java
+++ b/gateway/src/main/java/io/hornbeamscale/gateway/GatewayMetrics.java
@@ -1,7 +1,10 @@
 package io.hornbeamscale.gateway;
 
+import com.codahale.metrics.Gauge;
 import com.codahale.metrics.Histogram;
 import com.codahale.metrics.MetricRegistry;
+import io.hornbeamscale.core.eligibility.IneligibleReason;
+import io.hornbeamscale.core.eligibility.ServerEligibility;
 import io.hornbeamscale.core.route.RequestKind;
 import java.util.Locale;
 
@@ -32,6 +35,13 @@
         firstEvent.update(millis);
     }
 
+    /** Exports how often each reason has forbidden a server. */
+    void exportEligibility(ServerEligibility eligibility) {
+        for (IneligibleReason reason : IneligibleReason.values()) {
+            registry.register("ineligible_" + reason.code(), (Gauge<Long>) () -> eligibility.count(reason));
+        }
+    }
+
     void count(String name) {
         registry.counter(name).inc();
     }
--- a/gateway/src/main/java/io/hornbeamscale/gateway/LeavingServerPoller.java
+++ b/gateway/src/main/java/io/hornbeamscale/gateway/LeavingServerPoller.java
@@ -1,5 +1,6 @@
 package io.hornbeamscale.gateway;
 
+import io.hornbeamscale.core.eligibility.SendTerms;
 import io.hornbeamscale.core.fleet.FleetServer;
 import java.nio.charset.StandardCharsets;
 import java.util.HashSet;
@@ -52,11 +53,17 @@
             return;
         }
         for (Map.Entry<String, Long> each : traffic.streamsByServer().entrySet()) {
-            traffic.server(each.getKey()).filter(FleetServer::isReady).ifPresent(this::requestReport);
+            traffic.server(each.getKey()).filter(this::takesCalls).ifPresent(this::requestReport);
         }
         traffic.thread().executeAfter(this::poll, POLL_INTERVAL_MILLIS, TimeUnit.MILLISECONDS);
     }
 
+    private boolean takesCalls(FleetServer server) {
+        return traffic.eligibility()
+                .check(server, SendTerms.ANY.uncounted(), ControlLoop.now())
+                .isAllowed();
+    }
+
     private void requestReport(FleetServer server) {
         if (!pendingServers.add(server.id())) {
             return;
--- a/gateway/src/main/java/io/hornbeamscale/gateway/MetricsHandler.java
+++ b/gateway/src/main/java/io/hornbeamscale/gateway/MetricsHandler.java
@@ -28,6 +28,12 @@
                     .append(each.getValue().getCount())
                     .append('\n');
         }
+        metrics.registry()
+                .getGauges()
+                .forEach((metric, gauge) -> out.append(name(metric))
+                        .append(' ')
+                        .append(gauge.getValue())
+                        .append('\n'));
         for (Map.Entry<String, Histogram> each :
                 metrics.registry().getHistograms().entrySet()) {
             Snapshot snapshot = each.getValue().getSnapshot();
--- a/gateway/src/main/java/io/hornbeamscale/gateway/PlainRelay.java
+++ b/gateway/src/main/java/io/hornbeamscale/gateway/PlainRelay.java
@@ -1,9 +1,11 @@
 package io.hornbeamscale.gateway;
 
+import io.hornbeamscale.core.eligibility.SendTerms;
 import io.hornbeamscale.core.error.BackendResponses;
 import io.hornbeamscale.core.error.ErrorKind;
 import io.hornbeamscale.core.error.RunOutcome;
 import io.hornbeamscale.core.fleet.FleetServer;
+import io.hornbeamscale.core.placement.PlainPlacement;
 import io.hornbeamscale.core.placement.ServerLoad;
 import io.hornbeamscale.core.route.Customer;
 import io.undertow.server.HttpServerExchange;
@@ -34,8 +36,8 @@
      */
     private static final double ATTEMPT_TIME_SHARE = 0.45;
 
-    /** The share of the remaining time that a request may wait for the limit of a server; the rest is needed to run. */
-    private static final double MAX_LIMIT_WAIT_SHARE = 0.4;
+    /** The share of the remaining time that a request may wait until a server may get it; the rest is needed to run. */
+    private static final double MAX_WAIT_SHARE = 0.4;
 
     private static final long CONNECT_TIMEOUT_MILLIS = 400;
     private static final long RETRY_AFTER_MILLIS = 300;
@@ -98,33 +100,26 @@
             failAsQuarantined();
             return;
         }
-        List<FleetServer> servers = traffic().fleet().ready(request().service().name());
-        Optional<FleetServer> chosen = traffic()
+        List<FleetServer> servers = servers();
+        Optional<PlainPlacement.Choice> chosen = traffic()
                 .plainPlacement()
-                .choose(servers, tried, nowMillis, traffic().random());
+                .choose(servers, terms(), nowMillis, traffic().random());
         if (chosen.isEmpty()) {
-            boolean hasNoServer = servers.isEmpty();
-            if (runs > 0) {
-                fail(ErrorKind.OUTCOME_UNKNOWN, -1, "no other server to repeat the request at");
-            } else {
-                fail(
-                        hasNoServer ? ErrorKind.NO_BACKEND : ErrorKind.OVERLOADED,
-                        RETRY_AFTER_MILLIS,
-                        "no server accepts the request");
-            }
+            failWithoutServer(servers, nowMillis);
             return;
         }
-        FleetServer server = chosen.get();
-        long wait = traffic().limits().waitMillis(server.id(), nowMillis);
-        if (!isWaitAcceptable(server, nowMillis)) {
+        FleetServer server = chosen.get().server();
+        long wait = chosen.get().waitMillis();
+        if (!isWaitAcceptable(wait, nowMillis)) {
+            String why = traffic().eligibility().summary(servers, terms(), nowMillis);
             if (runs > 0) {
-                fail(ErrorKind.OUTCOME_UNKNOWN, -1, "the limits of all servers defer the repeat for too long");
+                fail(ErrorKind.OUTCOME_UNKNOWN, -1, "the repeat would have to wait too long: " + why);
             } else {
-                fail(ErrorKind.OVERLOADED, wait, "the limits of all servers defer the request for too long");
+                fail(ErrorKind.OVERLOADED, wait, "the request would have to wait too long: " + why);
             }
             return;
         }
-        traffic().limits().take(server.id(), nowMillis);
+        traffic().eligibility().reserve(server, nowMillis);
         if (wait == 0) {
             begin(server, nowMillis);
         } else {
@@ -132,22 +127,45 @@
         }
     }
 
+    private void failWithoutServer(List<FleetServer> servers, long nowMillis) {
+        if (runs > 0) {
+            fail(ErrorKind.OUTCOME_UNKNOWN, -1, "no other server to repeat the request at");
+            return;
+        }
+        String why = traffic().eligibility().summary(servers, terms(), nowMillis);
+        fail(
+                servers.isEmpty() ? ErrorKind.NO_BACKEND : ErrorKind.OVERLOADED,
+                RETRY_AFTER_MILLIS,
+                "no server accepts the request" + (why.isEmpty() ? "" : ": " + why));
+    }
+
     private void beginDeferred(FleetServer server) {
         if (isEnded()) {
             return;
         }
         long now = ControlLoop.now();
-        boolean isReady =
-                traffic().server(server.id()).map(FleetServer::isReady).orElse(false);
-        if (isReady
-                && !traffic().stop().isRefused(request())
-                && traffic().health().isUsable(server.id(), now)) {
+        boolean isEligible = traffic()
+                .server(server.id())
+                .map(s -> traffic()
+                        .eligibility()
+                        .check(s, terms().reservedAt(s.id()), now)
+                        .isAllowed())
+                .orElse(false);
+        if (isEligible && !traffic().stop().isRefused(request())) {
             begin(server, now);
         } else {
             send(now);
         }
     }
 
+    private SendTerms terms() {
+        return request().terms().excluding(tried);
+    }
+
+    private List<FleetServer> servers() {
+        return traffic().fleet().ready(request().service().name());
+    }
+
     private void begin(FleetServer server, long nowMillis) {
         attempt = new Attempt(server, nowMillis);
         attempt.begin(nowMillis);
@@ -170,18 +188,13 @@
     private boolean hasOtherServer(long nowMillis) {
         return traffic()
                 .plainPlacement()
-                .choose(
-                        traffic().fleet().ready(request().service().name()),
-                        tried,
-                        nowMillis,
-                        traffic().random())
-                .filter(server -> isWaitAcceptable(server, nowMillis))
+                .choose(servers(), terms(), nowMillis, traffic().random())
+                .filter(choice -> isWaitAcceptable(choice.waitMillis(), nowMillis))
                 .isPresent();
     }
 
-    private boolean isWaitAcceptable(FleetServer server, long nowMillis) {
-        return traffic().limits().waitMillis(server.id(), nowMillis)
-                <= MAX_LIMIT_WAIT_SHARE * request().remainingMillis(nowMillis);
+    private boolean isWaitAcceptable(long waitMillis, long nowMillis) {
+        return waitMillis <= MAX_WAIT_SHARE * request().remainingMillis(nowMillis);
     }
 
     /** One attempt at one server. */
@@ -250,7 +263,7 @@
             headers = found;
             head = traffic().codec().decodeBackendResponse(code, found);
             exchange.setServerIdleTimeout(head.idleTimeoutMillis());
-            traffic().responded(server.id(), code, head, sentAtMillis, ControlLoop.now());
+            traffic().responded(server, code, head, sentAtMillis, ControlLoop.now());
             mismatch(code, head).ifPresent(why -> {
                 exchange.cancel();
                 failed(BackendExchange.Failure.BROKEN, why);
--- a/gateway/src/main/java/io/hornbeamscale/gateway/RelayRequest.java
+++ b/gateway/src/main/java/io/hornbeamscale/gateway/RelayRequest.java
@@ -1,6 +1,8 @@
 package io.hornbeamscale.gateway;
 
+import io.hornbeamscale.core.eligibility.SendTerms;
 import io.hornbeamscale.core.placement.GenerationSize;
+import io.hornbeamscale.core.route.AllowedRegions;
 import io.hornbeamscale.core.route.Customer;
 import io.hornbeamscale.core.route.RequestKind;
 import io.hornbeamscale.core.route.Route;
@@ -54,6 +56,12 @@
         return route.kind() == RequestKind.STREAMING && service.engine().isPresent();
     }
 
+    /** Returns the terms of the first send: the regions that both the route and the customer allow. */
+    SendTerms terms() {
+        AllowedRegions ofCustomer = customer.map(Customer::allowedRegions).orElse(AllowedRegions.ANY);
+        return SendTerms.of(route.allowedRegions().and(ofCustomer));
+    }
+
     /** Returns the time left until the deadline, in milliseconds, negative after it. */
     long remainingMillis(long nowMillis) {
         return deadlineMillis - nowMillis;
--- a/gateway/src/main/java/io/hornbeamscale/gateway/StoreFollower.java
+++ b/gateway/src/main/java/io/hornbeamscale/gateway/StoreFollower.java
@@ -333,6 +333,11 @@
             applyDocument(item, source);
         } else if (key.startsWith(schema.serverPrefix())) {
             applyServer(key.substring(schema.serverPrefix().length()), item, source, nowMillis);
+        } else if (key.startsWith(schema.evacuationPrefix())) {
+            String zone = key.substring(schema.evacuationPrefix().length());
+            fleet.zoneEvacuated(zone, !item.isRemoved());
+            log.storeEvent(
+                    item.isRemoved() ? "evacuation_ended" : "evacuation", zone + ", revision " + item.revision());
         } else if (key.startsWith(schema.entryPrefix())) {
             listener.entryChanged(key.substring(schema.entryPrefix().length()), Optional.ofNullable(item.value()));
         }
--- a/gateway/src/main/java/io/hornbeamscale/gateway/StoreSchema.java
+++ b/gateway/src/main/java/io/hornbeamscale/gateway/StoreSchema.java
@@ -34,6 +34,14 @@
      */
     String entryPrefix();
 
+    /**
+     * Returns the prefix of the operators' evacuations; the rest of the key is the name of the availability zone. A
+     * zone is evacuated as long as its key exists, whatever its value.
+     *
+     * @return the prefix, never null
+     */
+    String evacuationPrefix();
+
     /**
      * Returns the prefix of the keys that this system writes, except for the registrations of servers.
      *
--- a/gateway/src/main/java/io/hornbeamscale/gateway/StreamAttempt.java
+++ b/gateway/src/main/java/io/hornbeamscale/gateway/StreamAttempt.java
@@ -164,7 +164,7 @@
         BackendResponseHead head = relay.traffic().codec().decodeBackendResponse(code, found);
         exchange.setServerIdleTimeout(head.idleTimeoutMillis());
         isNotRun = BackendResponses.outcome(code, head.statesNotRun()) == RunOutcome.NOT_RUN;
-        relay.traffic().responded(server.id(), code, head, sentAtMillis, ControlLoop.now());
+        relay.traffic().responded(server, code, head, sentAtMillis, ControlLoop.now());
         Optional<String> mismatch = relay.mismatch(code, head);
         if (mismatch.isPresent()) {
             exchange.cancel();
--- /dev/null
+++ b/gateway/src/main/java/io/hornbeamscale/gateway/StreamCandidates.java
@@ -0,0 +1,126 @@
+package io.hornbeamscale.gateway;
+
+import io.hornbeamscale.core.eligibility.IneligibleReason;
+import io.hornbeamscale.core.eligibility.SendTerms;
+import io.hornbeamscale.core.eligibility.Verdict;
+import io.hornbeamscale.core.fleet.FleetServer;
+import io.hornbeamscale.core.placement.GenerationSize;
+import io.hornbeamscale.core.placement.PlacementQueue;
+import io.hornbeamscale.core.route.EngineSpec;
+import java.util.Collection;
+import java.util.HashSet;
+import java.util.List;
+import java.util.Optional;
+import java.util.OptionalLong;
+import java.util.Set;
+
+/** The servers that may get one stream, its backup or its continuation. All methods run on the traffic thread. */
+final class StreamCandidates {
+    /** The expected length of a response from which on its state is backed up while it runs, in tokens. */
+    private static final long MIN_BACKUP_TOKENS = 100;
+
+    private static final double MILLIS_PER_SECOND = 1_000;
+
+    private final TrafficState traffic;
+    private final RelayRequest request;
+    private final GenerationSize size;
+
+    /**
+     * The servers that refused the request or did not accept a connection. None of them gets the request again: a
+     * server may repeat its refusal late, and nothing tells that copy from the response to a second send.
+     */
+    private final Set<String> refused = new HashSet<>();
+
+    StreamCandidates(TrafficState traffic, RelayRequest request) {
+        this.traffic = traffic;
+        this.request = request;
+        this.size = request.size();
+    }
+
+    /** Excludes a server that refused the request or did not accept a connection. */
+    void refused(String server) {
+        refused.add(server);
+    }
+
+    /** Returns the registered servers of the service that do not leave as far as the store tells. */
+    List<FleetServer> servers() {
+        return traffic.fleet().ready(request.service().name());
+    }
+
+    /** Returns the terms of the next send. */
+    SendTerms terms() {
+        return request.terms().excluding(refused);
+    }
+
+    /** Returns the terms of the next send, which must not go to some other servers either. */
+    SendTerms termsExcluding(Collection<String> others) {
+        Set<String> all = new HashSet<>(refused);
+        all.addAll(others);
+        return request.terms().excluding(all);
+    }
+
+    /** Returns whether a server may get the stream now. */
+    Verdict check(FleetServer server, long nowMillis) {
+        return traffic.eligibility().check(server, terms(), nowMillis);
+    }
+
+    /** Returns whether a server, at which a place within its request rates was taken before, may get the stream now. */
+    Verdict checkReserved(String server, long nowMillis) {
+        return traffic.server(server)
+                .map(s -> traffic.eligibility().check(s, terms().reservedAt(s.id()), nowMillis))
+                .orElse(Verdict.forbidden(IneligibleReason.LEAVING, Verdict.UNKNOWN));
+    }
+
+    /** Chooses the server for a new run, empty if none has room and may get the stream now. */
+    Optional<FleetServer> choose(long nowMillis) {
+        return traffic.generationPlacement().choose(servers(), engine(), size, terms(), nowMillis, traffic.random());
+    }
+
+    /** Chooses the server that receives a backup copy while another one runs the stream. */
+    Optional<FleetServer> backupFor(FleetServer runsOn, long nowMillis) {
+        if (!engine().canBackUp() || size.expectedTokens() < MIN_BACKUP_TOKENS) {
+            return Optional.empty();
+        }
+        return traffic.generationPlacement()
+                .chooseBackup(servers(), engine(), size, runsOn, terms(), nowMillis, traffic.random());
+    }
+
+    /** Returns a server that holds a backup copy if it may continue the stream, now or after a wait. */
+    Optional<FleetServer> usable(Optional<FleetServer> backup, long nowMillis) {
+        return backup.flatMap(b -> traffic.server(b.id()))
+                .filter(b -> traffic.eligibility()
+                        .check(b, terms().uncounted(), nowMillis)
+                        .isAllowed());
+    }
+
+    /** Returns whether some server takes the stream as soon as it has room, or at a later time. */
+    boolean mayBecomeEligible(long nowMillis) {
+        return servers().stream()
+                .map(s -> check(s, nowMillis))
+                .anyMatch(v -> v.isAllowed() || v.earliestMillis() != Verdict.UNKNOWN);
+    }
+
+    /** Returns how long the stream must wait until some server may get it, empty if waiting does not help. */
+    OptionalLong earliestWaitMillis(long nowMillis) {
+        return traffic.eligibility().earliestWaitMillis(servers(), terms(), nowMillis);
+    }
+
+    /** Returns what forbids servers, by reason, empty if all of them may get the stream. */
+    String ineligible(long nowMillis) {
+        return traffic.eligibility().summary(servers(), terms(), nowMillis);
+    }
+
+    /** Returns the number of servers, of which those with a limit count by the prompts that it allows this entry. */
+    double serversWithinLimits() {
+        double promptsPerSecond =
+                PlacementQueue.PREFILL_TOKENS_PER_MILLI * MILLIS_PER_SECOND / Math.max(1, size.promptTokens());
+        return servers().stream()
+                .mapToDouble(server -> traffic.limits().requestsPerSecond(server.id()))
+                .map(limit -> Math.min(1, limit / promptsPerSecond))
+                .sum();
+    }
+
+    private EngineSpec engine() {
+        return request.service().engine().orElseThrow();
+    }
+}
--- a/gateway/src/main/java/io/hornbeamscale/gateway/StreamMove.java
+++ b/gateway/src/main/java/io/hornbeamscale/gateway/StreamMove.java
@@ -44,7 +44,7 @@
     StreamMove(StreamRelay relay, StreamAttempt source) {
         this.relay = relay;
         this.source = source;
-        excludeUnusable();
+        excludeSource();
     }
 
     void begin(long nowMillis) {
@@ -79,18 +79,18 @@
                         relay.engine(),
                         relay.size(),
                         source.server(),
-                        refused,
+                        relay.candidates().termsExcluding(refused),
                         nowMillis,
                         relay.traffic().random());
         if (chosen.isEmpty()) {
             // A target without room may get some when one of its streams ends.
             refused.clear();
-            excludeUnusable();
+            excludeSource();
             retry(this::chooseTarget);
             return;
         }
         target = chosen.get();
-        relay.traffic().limits().take(target.id(), nowMillis);
+        relay.traffic().eligibility().reserve(target, nowMillis);
         reserved = relay.size().loadAfter(source.lastId() * relay.engine().tokensPerEvent());
         relay.traffic().placed(target.id(), reserved);
         boolean isSameZone = target.registration()
@@ -102,10 +102,9 @@
         copy();
     }
 
-    /** Excludes the source and the servers that must not get the request again, whether or not they have room. */
-    private void excludeUnusable() {
+    /** Excludes the source, whether or not it has room. */
+    private void excludeSource() {
         refused.add(source.server().id());
-        refused.addAll(relay.refused());
     }
 
     private void copy() {
--- a/gateway/src/main/java/io/hornbeamscale/gateway/StreamRelay.java
+++ b/gateway/src/main/java/io/hornbeamscale/gateway/StreamRelay.java
@@ -1,5 +1,7 @@
 package io.hornbeamscale.gateway;
 
+import io.hornbeamscale.core.eligibility.IneligibleReason;
+import io.hornbeamscale.core.eligibility.Verdict;
 import io.hornbeamscale.core.error.ErrorKind;
 import io.hornbeamscale.core.fleet.Endpoint;
 import io.hornbeamscale.core.fleet.FleetServer;
@@ -8,10 +10,8 @@
 import io.hornbeamscale.core.route.EngineSpec;
 import io.undertow.server.HttpServerExchange;
 import io.undertow.util.HeaderMap;
-import java.util.HashSet;
 import java.util.List;
 import java.util.Optional;
-import java.util.Set;
 import java.util.concurrent.TimeUnit;
 
 /**
@@ -32,33 +32,21 @@
     /** How long a broken stream may wait for the limit of the server with its backup, in milliseconds. */
     private static final long MAX_CONTINUATION_WAIT_MILLIS = 1_500;
 
-    private static final double MILLIS_PER_SECOND = 1_000;
-
-    /** The expected length of a response from which on its state is backed up while it runs, in tokens. */
-    private static final long MIN_BACKUP_TOKENS = 100;
-
     private final GenerationSize size;
-    /**
-     * The servers that refused the request or did not accept a connection. None of them gets the request again: a
-     * server may repeat its refusal late, and nothing tells that copy from the response to a second send.
-     */
-    private final Set<String> refused = new HashSet<>();
-
+    private final StreamCandidates candidates;
     private int sends;
     private StreamAttempt current;
     private StreamAttempt next;
     private StreamMove move;
     private boolean hasRun;
-    private long firstEventMillis = -1;
-    private long lastEventAtMillis;
-    private long longestGapMillis;
-    private long longestGapBeforeId;
+    private final EventTimes times = new EventTimes();
     private long lastId;
     private int handOvers;
 
     StreamRelay(TrafficState traffic, HttpServerExchange exchange, RelayRequest request) {
         super(traffic, exchange, request);
         this.size = request.size();
+        this.candidates = new StreamCandidates(traffic, request);
         this.lastId = request.lastEventId();
     }
 
@@ -116,16 +104,14 @@
             failAsQuarantined();
             return true;
         }
-        List<FleetServer> servers = servers();
-        Optional<FleetServer> chosen = traffic()
-                .generationPlacement()
-                .choose(servers, engine(), size, refused, now, traffic().random());
+        Optional<FleetServer> chosen = candidates.choose(now);
         if (chosen.isEmpty()) {
             return false;
         }
         sends++;
-        traffic().limits().take(chosen.get().id(), now);
-        current = new StreamAttempt(this, chosen.get(), Optional.empty(), backupFor(chosen.get(), now), lastId);
+        traffic().eligibility().reserve(chosen.get(), now);
+        current = new StreamAttempt(
+                this, chosen.get(), Optional.empty(), candidates.backupFor(chosen.get(), now), lastId);
         current.begin(now);
         return true;
     }
@@ -137,6 +123,10 @@
                 : Optional.of(current.server().id());
     }
 
+    StreamCandidates candidates() {
+        return candidates;
+    }
+
     EngineSpec engine() {
         return request().service().engine().orElseThrow();
     }
@@ -154,6 +144,12 @@
             return;
         }
         long now = ControlLoop.now();
+        Verdict verdict = candidates.checkReserved(to.id(), now);
+        if (!verdict.isAllowed()) {
+            continueElsewhere("server " + to.id() + " must not get the stream: "
+                    + verdict.reason().map(IneligibleReason::code).orElse(""));
+            return;
+        }
         handOvers++;
         traffic().repeats().forceRetry(request().service().name(), now);
         Optional<String> last = lastId > 0 ? Optional.of(Long.toString(lastId)) : Optional.empty();
@@ -161,7 +157,7 @@
                 this,
                 to,
                 Optional.of(new BackendRequestFields.Continuation(owner, handle, last)),
-                backupFor(to, now),
+                candidates.backupFor(to, now),
                 lastId);
         next = attempt;
         attempt.begin(now);
@@ -174,7 +170,7 @@
 
     /** Handles a refusal: the server has not run the request. */
     void notRun(StreamAttempt from, String why) {
-        refused.add(from.server().id());
+        candidates.refused(from.server().id());
         if (from == next) {
             handOverFailed(from, why);
             return;
@@ -198,7 +194,7 @@
             return;
         }
         traffic().log().repeated(request(), from.server(), why);
-        refused.add(from.server().id());
+        candidates.refused(from.server().id());
         current = null;
         if (sends >= MAX_SENDS) {
             fail(ErrorKind.NO_BACKEND, RETRY_AFTER_MILLIS, why);
@@ -268,9 +264,9 @@
             // The second server continues the stream, or its hand-over times out.
             return;
         }
-        Optional<FleetServer> copy = usableBackup();
+        Optional<FleetServer> copy = candidates.usable(current.backup(), ControlLoop.now());
         // A stream without events may have crashed its server, and would crash the next one.
-        if (copy.isPresent() && firstEventMillis >= 0) {
+        if (copy.isPresent() && times.hasEvents()) {
             traffic().log().repeated(request(), from.server(), why);
             continueFromBackup(copy.get());
         } else {
@@ -285,13 +281,16 @@
 
     @Override
     String detail() {
-        return "events to " + lastId + ", first after " + firstEventMillis + " ms, longest gap " + longestGapMillis
-                + " ms to event " + longestGapBeforeId + ", hand-overs " + handOvers;
+        return "events to " + lastId + ", " + times + ", hand-overs " + handOvers;
     }
 
     private void handOverFailed(StreamAttempt from, String why) {
         next = null;
         traffic().log().repeated(request(), from.server(), why);
+        continueElsewhere(why);
+    }
+
+    private void continueElsewhere(String why) {
         if (current.isEnded()) {
             failAsLost("no server can continue the stream: " + why);
             return;
@@ -303,30 +302,32 @@
         if (isEnded() || move != null || next != null || current == null || !current.hasEvents() || current.isEnded()) {
             return;
         }
-        boolean isLeaving =
-                traffic().server(current.server().id()).map(s -> !s.isReady()).orElse(true);
+        boolean isLeaving = traffic()
+                .server(current.server().id())
+                .map(traffic().eligibility()::isLeaving)
+                .orElse(true);
         if (!isLeaving) {
             return;
         }
-        Optional<FleetServer> copy = usableBackup();
-        boolean isWithinLimit =
-                copy.isPresent() && traffic().limits().waitMillis(copy.get().id(), ControlLoop.now()) == 0;
-        if (isWithinLimit) {
+        Optional<FleetServer> copy = candidates.usable(current.backup(), ControlLoop.now());
+        boolean isAllowedNow = copy.isPresent()
+                && candidates.check(copy.get(), ControlLoop.now()).isAllowed();
+        if (isAllowedNow) {
             continueFromBackup(copy.get());
         } else {
             startMove();
         }
     }
 
-    /** Continues the stream at the server with the backup, once the limit of that server allows it. */
+    /** Continues the stream at the server with the backup, once that server may get a request. */
     private void continueFromBackup(FleetServer copy) {
         long now = ControlLoop.now();
-        long wait = traffic().limits().waitMillis(copy.id(), now);
+        long wait = candidates.check(copy, now).waitMillis(now);
         if (wait > MAX_CONTINUATION_WAIT_MILLIS) {
-            failAsLost("server " + copy.id() + " with the backup takes no request within its limit");
+            failAsLost("server " + copy.id() + " with the backup takes no request soon enough");
             return;
         }
-        traffic().limits().take(copy.id(), now);
+        traffic().eligibility().reserve(copy, now);
         Endpoint address = copy.registration().address();
         if (wait == 0) {
             handOver(copy, address, request().id());
@@ -342,68 +343,28 @@
         }
     }
 
-    /** Returns the servers that must not get the request, or a continuation of it, again. */
-    Set<String> refused() {
-        return Set.copyOf(refused);
-    }
-
     /** Sends the request to a server that has not refused it, waits for such a server, or gives up if there is none. */
     private void placeOrWait(long nowMillis, String why) {
         if (tryPlace()) {
             return;
         }
-        List<FleetServer> servers = servers();
-        if (!servers.isEmpty() && servers.stream().allMatch(s -> refused.contains(s.id()))) {
-            fail(ErrorKind.OVERLOADED, RETRY_AFTER_MILLIS, "no server is left after: " + why);
-        } else {
+        if (candidates.servers().isEmpty() || candidates.mayBecomeEligible(nowMillis)) {
             awaitRoom(nowMillis);
+        } else {
+            fail(ErrorKind.OVERLOADED, RETRY_AFTER_MILLIS, "no server is left after: " + why);
         }
     }
 
-    private Optional<FleetServer> usableBackup() {
-        return current.backup()
-                .filter(b -> !refused.contains(b.id()))
-                .flatMap(b -> traffic().server(b.id()))
-                .filter(b -> b.isReady() && traffic().health().isUsable(b.id(), ControlLoop.now()));
-    }
-
-    private Optional<FleetServer> backupFor(FleetServer server, long nowMillis) {
-        if (!engine().canBackUp() || size.expectedTokens() < MIN_BACKUP_TOKENS) {
-            return Optional.empty();
-        }
-        return traffic()
-                .generationPlacement()
-                .chooseBackup(
-                        servers().stream()
-                                .filter(s -> !refused.contains(s.id()))
-                                .toList(),
-                        engine(),
-                        size,
-                        server,
-                        nowMillis,
-                        traffic().random());
-    }
-
-    private List<FleetServer> servers() {
-        return traffic().fleet().ready(request().service().name());
-    }
-
     private void recordEvent() {
         long now = ControlLoop.now();
-        if (firstEventMillis < 0) {
-            firstEventMillis = now - request().arrivedAtMillis();
-            traffic().metrics().firstEvent(firstEventMillis);
-        } else {
-            if (now - lastEventAtMillis > longestGapMillis) {
-                longestGapMillis = now - lastEventAtMillis;
-                longestGapBeforeId = lastId;
-            }
+        if (!times.hasEvents()) {
+            traffic().metrics().firstEvent(now - request().arrivedAtMillis());
         }
-        lastEventAtMillis = now;
+        times.record(lastId, request().arrivedAtMillis(), now);
     }
 
     private ResponseProgress progress(StreamAttempt attempt, long nowMillis) {
-        boolean isContinued = handOvers > 0 && firstEventMillis >= 0;
+        boolean isContinued = handOvers > 0 && times.hasEvents();
         return isContinued ? ResponseProgress.ADVANCED : attempt.progress(nowMillis);
     }
 
@@ -422,16 +383,22 @@
                 request().arrivedAtMillis(),
                 request().route().objectiveMillis(),
                 request().deadlineMillis());
+        List<FleetServer> servers = candidates.servers();
+        if (!servers.isEmpty() && !candidates.mayBecomeEligible(nowMillis)) {
+            String why = "no server accepts the request: " + candidates.ineligible(nowMillis);
+            fail(ErrorKind.OVERLOADED, RETRY_AFTER_MILLIS, why);
+            return;
+        }
         int ahead = traffic().waitingStreams().size();
         Optional<Long> retryAfterMillis =
-                traffic().waitingStreams().offer(this, need, serversWithinLimits(), nowMillis);
+                traffic().waitingStreams().offer(this, need, candidates.serversWithinLimits(), nowMillis);
         if (retryAfterMillis.isPresent()) {
             fail(ErrorKind.OVERLOADED, retryAfterMillis.get(), "no server has room in time");
             return;
         }
         traffic().metrics().count("waited");
         long limit = PlacementQueue.maxWaitMillis(need, nowMillis);
-        traffic().log().waits(request(), servers().size(), ahead, limit);
+        traffic().log().waits(request(), servers.size(), candidates.ineligible(nowMillis), ahead, limit);
         traffic().placeWaitingAfterLimits();
         after(limit, () -> {
             if (current == null) {
@@ -440,16 +407,6 @@
         });
     }
 
-    /** Returns the number of servers, of which those with a limit count by the prompts that it allows this entry. */
-    private double serversWithinLimits() {
-        double promptsPerSecond =
-                PlacementQueue.PREFILL_TOKENS_PER_MILLI * MILLIS_PER_SECOND / Math.max(1, size.promptTokens());
-        return servers().stream()
-                .mapToDouble(server -> traffic().limits().requestsPerSecond(server.id()))
-                .map(limit -> Math.min(1, limit / promptsPerSecond))
-                .sum();
-    }
-
     private void after(long millis, Runnable task) {
         traffic()
                 .thread()
--- a/gateway/src/main/java/io/hornbeamscale/gateway/TrafficState.java
+++ b/gateway/src/main/java/io/hornbeamscale/gateway/TrafficState.java
@@ -1,6 +1,7 @@
 package io.hornbeamscale.gateway;
 
 import io.hornbeamscale.core.blackboard.Blackboard;
+import io.hornbeamscale.core.eligibility.ServerEligibility;
 import io.hornbeamscale.core.fleet.Endpoint;
 import io.hornbeamscale.core.fleet.FleetServer;
 import io.hornbeamscale.core.fleet.FleetSnapshot;
@@ -14,13 +15,16 @@
 import io.hornbeamscale.core.placement.PlacementQueue;
 import io.hornbeamscale.core.placement.PlainPlacement;
 import io.hornbeamscale.core.placement.ServerLoad;
+import io.hornbeamscale.core.route.RoutedService;
 import java.util.HashMap;
 import java.util.LinkedHashSet;
 import java.util.List;
 import java.util.Map;
 import java.util.Optional;
+import java.util.OptionalLong;
 import java.util.Set;
 import java.util.concurrent.TimeUnit;
+import java.util.function.Consumer;
 import java.util.function.Function;
 import java.util.random.RandomGenerator;
 import java.util.stream.Collectors;
@@ -53,6 +57,7 @@
     private final EventIntervalTracker pace = new EventIntervalTracker();
     private final CopyLinkSchedule copyLinks = new CopyLinkSchedule();
     private final ServerRateLimits limits;
+    private final ServerEligibility eligibility;
     private final GenerationPlacement generationPlacement;
     private final PlainPlacement plainPlacement;
     private final WindowedRetryBudget repeats;
@@ -61,6 +66,7 @@
     private final Map<String, Endpoint> knownAddresses = new HashMap<>();
     private CrashDetector crashDetector;
     private Runnable statusSender = () -> {};
+    private Consumer<FleetServer> leavingListener = server -> {};
     private boolean isStatusDue;
     private boolean isPlacementScheduled;
 
@@ -84,9 +90,12 @@
         this.log = log;
         this.random = random;
         limits = new ServerRateLimits(settings.node());
-        generationPlacement =
-                new GenerationPlacement(loads, health, pace, copyLinks, limits, settings.zone(), settings.regions());
-        plainPlacement = new PlainPlacement(loads, health, limits, settings.zone(), settings.regions());
+        eligibility =
+                new ServerEligibility(settings.node(), health, limits, settings.regions(), this::coldRequestsPerSecond);
+        metrics.exportEligibility(eligibility);
+        generationPlacement = new GenerationPlacement(
+                loads, health, pace, copyLinks, eligibility, settings.zone(), settings.regions());
+        plainPlacement = new PlainPlacement(loads, health, eligibility, settings.zone(), settings.regions());
         repeats =
                 new WindowedRetryBudget(settings.repeatRatio(), settings.repeatWindowMillis(), settings.repeatSlack());
     }
@@ -143,15 +152,51 @@
         return limits;
     }
 
-    /** Handles the head of a server's response to a request, which may name a limit. */
-    void responded(String server, int status, BackendResponseHead head, long sentAtMillis, long nowMillis) {
+    ServerEligibility eligibility() {
+        return eligibility;
+    }
+
+    /** Handles what the head of a server's response to a request says about the server. */
+    void responded(FleetServer server, int status, BackendResponseHead head, long sentAtMillis, long nowMillis) {
         boolean isSuccess = status < STATUS_REDIRECT && head.hasSignature() && !head.statesNotRun();
-        if (limits.responded(server, head.requestLimit(), isSuccess, sentAtMillis, nowMillis)) {
-            log.limitChanged(server, head.requestLimit(), limits.requestsPerSecond(server));
+        boolean isLimitChanged = limits.responded(server.id(), head.requestLimit(), isSuccess, sentAtMillis, nowMillis);
+        if (isLimitChanged) {
+            log.limitChanged(server.id(), head.requestLimit(), limits.requestsPerSecond(server.id()));
+        }
+        if (head.isLeaving() && eligibility.leavingAnnounced(server)) {
+            metrics.count("leaving_announced");
+            log.serverEvent(server.id(), "leaving", "its response", 0);
+            leavingListener.accept(server);
+            thread.execute(this::fleetChanged);
+        }
+        boolean isPaused = head.pauseMillis().isPresent()
+                && eligibility.pauseRequested(server, head.pauseMillis().getAsDouble(), nowMillis);
+        if (isPaused) {
+            metrics.count("pauses");
+            log.serverPaused(server.id(), head.pauseMillis().getAsDouble());
+        }
+        head.coldMillis().ifPresent(millis -> eligibility.coldReported(server, millis, nowMillis));
+        if (!head.malformed().isEmpty()) {
+            log.malformedHeader(server.id(), head.malformed());
+        }
+        if (isLimitChanged || isPaused) {
             thread.execute(this::placeWaiting);
         }
     }
 
+    /** Sets the recipient of servers that announce in a response that they leave. */
+    void setLeavingListener(Consumer<FleetServer> listener) {
+        leavingListener = listener;
+    }
+
+    private double coldRequestsPerSecond(String service) {
+        return blackboard
+                .get(Gateway.DOCUMENT)
+                .flatMap(document -> document.service(service))
+                .map(RoutedService::coldRequestsPerSecond)
+                .orElse(0.0);
+    }
+
     GenerationPlacement generationPlacement() {
         return generationPlacement;
     }
@@ -245,12 +290,19 @@
         placeWaitingAfterLimits();
     }
 
-    /** Schedules the placement of waiting streams for when a server's limit allows the next request. */
+    private OptionalLong nextPlacementMillis(long nowMillis) {
+        return waitingStreams.inOrder().stream()
+                .map(stream -> stream.candidates().earliestWaitMillis(nowMillis))
+                .flatMapToLong(OptionalLong::stream)
+                .min();
+    }
+
+    /** Schedules the placement of waiting streams for when a server that may get none now may get one. */
     void placeWaitingAfterLimits() {
         if (waitingStreams.isEmpty() || isPlacementScheduled) {
             return;
         }
-        limits.earliestWaitMillis(ControlLoop.now()).ifPresent(wait -> {
+        nextPlacementMillis(ControlLoop.now()).ifPresent(wait -> {
             isPlacementScheduled = true;
             thread.executeAfter(
                     () -> {
@@ -268,6 +320,7 @@
      */
     void fleetChanged() {
         FleetSnapshot fleet = fleet();
+        eligibility.setEvacuatedZones(fleet.evacuatedZones());
         for (FleetServer server : fleet.all()) {
             Endpoint before =
                     knownAddresses.put(server.id(), server.registration().address());
@@ -275,7 +328,7 @@
                 client.closeIdleConnections(before);
                 health.forget(server.id());
             }
-            if (!server.isReady()) {
+            if (eligibility.isLeaving(server)) {
                 client.closeIdleConnections(server.registration().address());
             }
         }
@@ -285,7 +338,7 @@
                 health.forget(id);
                 pace.forget(id);
                 copyLinks.forget(id);
-                limits.forget(id);
+                eligibility.forget(id);
             }
             return isGone;
         });
--- a/gateway/src/test/java/io/hornbeamscale/gateway/StoreFollowerTest.java
+++ b/gateway/src/test/java/io/hornbeamscale/gateway/StoreFollowerTest.java
@@ -486,6 +486,11 @@
             return "entries/";
         }
 
+        @Override
+        public String evacuationPrefix() {
+            return "op/evacuate/";
+        }
+
         @Override
         public String systemPrefix() {
             return "own/";
