Share the room of servers among queued streams, and use the speed that servers state

Change: QueuedDemand divides the room at a server by queued demand, without a message of its own; the lowest time of work that a server states is its speed, an unknown server counts as average; destinations of moves differ between entries.

--- a/core/src/main/java/io/hornbeamscale/core/placement/EventIntervalTracker.java
+++ b/core/src/main/java/io/hornbeamscale/core/placement/EventIntervalTracker.java
@@ -8,14 +8,16 @@
 /**
  * Estimates the time per event of undisturbed engines. Servers of one service differ in speed, and on a slow server a
  * short load peak extends the gap between two events beyond its objective. The estimate follows lower values at once
- * and higher values slowly, since prompts of other requests and noisy neighbors only add time. Not safe for use by
- * several threads.
+ * and higher values slowly, since prompts of other requests and noisy neighbors only add time. Where servers state in
+ * their responses how long work takes at the moment, the lowest value of a server is its speed, known from its first
+ * response on; a new server without a response is taken for an average one. Not safe for use by several threads.
  */
 public final class EventIntervalTracker {
     /** The weight of a value above the estimate. */
     private static final double INCREASE_WEIGHT = 0.01;
 
     private final Map<String, Double> intervalMillisByServer = new HashMap<>();
+    private final Map<String, Integer> workPercentByServer = new HashMap<>();
 
     /**
      * Records the time per event of a server, as a mean over several events of one stream.
@@ -40,6 +42,29 @@
         }
     }
 
+    /**
+     * Records how long work takes on a server at the moment, as the server or another entry states. Noisy neighbors add
+     * time, so the lowest value is kept.
+     *
+     * @param server the id of the server, not null
+     * @param percent the time, in percent of the usual time; 0 or less if unknown
+     */
+    public void workTimeStated(String server, int percent) {
+        if (percent > 0) {
+            workPercentByServer.merge(server, percent, Math::min);
+        }
+    }
+
+    /**
+     * Returns the lowest stated time of work on a server.
+     *
+     * @param server the id of the server, not null
+     * @return the time, in percent of the usual time; 0 if unknown
+     */
+    public int workPercent(String server) {
+        return workPercentByServer.getOrDefault(server, 0);
+    }
+
     /**
      * Returns the estimate for a server.
      *
@@ -59,6 +84,15 @@
         return Map.copyOf(intervalMillisByServer);
     }
 
+    /**
+     * Returns the lowest stated times of work.
+     *
+     * @return a copy of the times by server id, in percent of the usual time, never null
+     */
+    public Map<String, Integer> allWorkPercents() {
+        return Map.copyOf(workPercentByServer);
+    }
+
     /**
      * Compares a server with the fastest server of its service.
      *
@@ -67,6 +101,28 @@
      * @return the time per event relative to the fastest server, at least 1; 1 if unknown
      */
     public double slowdownFactor(String server, Collection<FleetServer> service) {
+        return service.stream().anyMatch(each -> workPercent(each.id()) > 0)
+                ? statedFactor(server, service)
+                : observedFactor(server, service);
+    }
+
+    private double statedFactor(String server, Collection<FleetServer> service) {
+        int best = Integer.MAX_VALUE;
+        long sum = 0;
+        int known = 0;
+        for (FleetServer each : service) {
+            int percent = workPercent(each.id());
+            if (percent > 0) {
+                best = Math.min(best, percent);
+                sum += percent;
+                known++;
+            }
+        }
+        double own = workPercent(server) > 0 ? workPercent(server) : sum / (double) known;
+        return Math.max(1, own / best);
+    }
+
+    private double observedFactor(String server, Collection<FleetServer> service) {
         double own = intervalMillis(server);
         if (own <= 0) {
             return 1;
@@ -88,5 +144,6 @@
      */
     public void forget(String server) {
         intervalMillisByServer.remove(server);
+        workPercentByServer.remove(server);
     }
 }
--- a/core/src/main/java/io/hornbeamscale/core/placement/GenerationPlacement.java
+++ b/core/src/main/java/io/hornbeamscale/core/placement/GenerationPlacement.java
@@ -86,17 +86,24 @@
     private static final double SLOW_START_COST_MILLIS = 2_000;
 
     /**
-     * The cost for a long response of a server that takes twice as long per event as the fastest, in milliseconds. A
-     * server that takes 1.3 times as long costs as much as a full queue of prompts elsewhere.
+     * The cost for a long response of a server that takes twice as long per event as the fastest, in milliseconds.
+     * While a server that takes 1.3 times as long reads a prompt and has a noisy neighbor, the gaps of all its streams
+     * exceed their objective, so long responses go there only if no faster server has room.
      */
-    private static final double LONG_SLOWDOWN_COST_MILLIS = 3_000;
+    private static final double LONG_SLOWDOWN_COST_MILLIS = 10_000;
 
-    /** The same cost for a short response, which has few gaps. */
-    private static final double SHORT_SLOWDOWN_COST_MILLIS = 150;
+    /** The same cost for a short response, which has few gaps and keeps its prompt away from the faster servers. */
+    private static final double SHORT_SLOWDOWN_COST_MILLIS = 30;
 
     /** The maximum random cost, in milliseconds, which keeps several entries from choosing the same server. */
     private static final double MAX_JITTER_MILLIS = 12;
 
+    /**
+     * The same for the destination of a move, in milliseconds, about the time of one copy. All entries with streams on
+     * a leaving server choose at the same moment; if they chose the same server, only the first would find room.
+     */
+    private static final double MAX_MOVE_JITTER_MILLIS = 150;
+
     private final LoadTracker loads;
     private final HealthTracker health;
     private final EventIntervalTracker intervals;
@@ -151,7 +158,7 @@
             SendTerms terms,
             long nowMillis,
             RandomGenerator random) {
-        return cheapest(servers, terms, nowMillis, random, server -> {
+        return cheapest(servers, terms, nowMillis, random, MAX_JITTER_MILLIS, server -> {
             ServerLoad load = loads.of(server.id(), nowMillis);
             return hasRoom(load, engine, size)
                     ? cost(server, load, zone, nowMillis)
@@ -183,7 +190,7 @@
             long nowMillis,
             RandomGenerator random) {
         double queuedCopies = loads.of(source.id(), nowMillis).requests() * QUEUED_COPY_SHARE;
-        return cheapest(servers, terms, nowMillis, random, server -> {
+        return cheapest(servers, terms, nowMillis, random, MAX_MOVE_JITTER_MILLIS, server -> {
             ServerLoad load = loads.of(server.id(), nowMillis);
             return load.requests() < engine.slots() && isSameRegion(server, source)
                     ? cost(server, load, source.registration().zone(), nowMillis)
@@ -218,7 +225,7 @@
             SendTerms terms,
             long nowMillis,
             RandomGenerator random) {
-        return cheapest(servers, terms.uncounted(), nowMillis, random, server -> {
+        return cheapest(servers, terms.uncounted(), nowMillis, random, MAX_JITTER_MILLIS, server -> {
             if (server.id().equals(runsOn.id())) {
                 return Double.POSITIVE_INFINITY;
             }
@@ -239,6 +246,7 @@
             SendTerms terms,
             long nowMillis,
             RandomGenerator random,
+            double jitterMillis,
             ToDoubleFunction<FleetServer> costs) {
         FleetServer best = null;
         double bestCost = Double.POSITIVE_INFINITY;
@@ -246,7 +254,7 @@
             if (!eligibility.check(server, terms, nowMillis).isAllowed()) {
                 continue;
             }
-            double cost = costs.applyAsDouble(server) + random.nextDouble() * MAX_JITTER_MILLIS;
+            double cost = costs.applyAsDouble(server) + random.nextDouble() * jitterMillis;
             if (cost < bestCost) {
                 best = server;
                 bestCost = cost;
@@ -265,6 +273,24 @@
                 != ZoneDistance.OTHER_REGION;
     }
 
+    /**
+     * Returns for how many generations of a size a server has room, going by the prompts that wait there and the memory
+     * in use.
+     *
+     * @param server the server, not null
+     * @param engine the engine, not null
+     * @param size the size of one generation, not null
+     * @param nowMillis the present time
+     * @return the number, at least 1
+     */
+    public int places(FleetServer server, EngineSpec engine, GenerationSize size, long nowMillis) {
+        ServerLoad load = loads.of(server.id(), nowMillis);
+        long prompt = Math.max(1, size.promptTokens());
+        long byPrompts = 1 + (MAX_PREFILL_TOKENS - load.prefillTokens()) / prompt;
+        long byMemory = (engine.memoryTokens() - load.usedTokens()) / Math.max(1, size.totalTokens());
+        return (int) Math.max(1, Math.min(byPrompts, byMemory));
+    }
+
     private static boolean hasRoom(ServerLoad load, EngineSpec engine, GenerationSize size) {
         if (load.requests() == 0) {
             return true;
--- a/core/src/test/java/io/hornbeamscale/core/placement/EventIntervalTrackerTest.java
+++ b/core/src/test/java/io/hornbeamscale/core/placement/EventIntervalTrackerTest.java
@@ -54,6 +54,44 @@
         }
     }
 
+    @Nested
+    class StatedWorkTime {
+        private final List<FleetServer> all = List.of(server("a"), server("b"), server("c"));
+
+        /** Noisy neighbors raise the stated time for moments; a server must not count as slow because of them. */
+        @Test
+        void keepsTheLowestValue() {
+            intervals.workTimeStated("a", 100);
+            intervals.workTimeStated("b", 325);
+            intervals.workTimeStated("b", 130);
+            intervals.workTimeStated("b", 325);
+            assertEquals(1.3, intervals.slowdownFactor("b", all), 1e-9);
+            assertEquals(1, intervals.slowdownFactor("a", all), 1e-9);
+        }
+
+        /** A server that was added a moment ago is empty and would get many long responses before it is known. */
+        @Test
+        void takesAnUnknownServerForAnAverageOne() {
+            intervals.workTimeStated("a", 100);
+            intervals.workTimeStated("b", 130);
+            assertEquals(1.15, intervals.slowdownFactor("c", all), 1e-9);
+        }
+
+        @Test
+        void isIgnoredIfItIsUnknownToAnotherEntry() {
+            intervals.workTimeStated("a", 0);
+            intervals.observe("b", 30);
+            assertEquals(1, intervals.slowdownFactor("b", all), 1e-9);
+        }
+
+        @Test
+        void endsWithTheServer() {
+            intervals.workTimeStated("a", 100);
+            intervals.forget("a");
+            assertEquals(0, intervals.workPercent("a"));
+        }
+    }
+
     @Nested
     class PeerReport {
         /** Every disturbance raises an estimate, so the lowest estimate of all entries is the most accurate. */
--- a/gateway/src/main/java/io/hornbeamscale/gateway/BackendResponseHead.java
+++ b/gateway/src/main/java/io/hornbeamscale/gateway/BackendResponseHead.java
@@ -17,6 +17,8 @@
  * @param pauseMillis for how long the server that refuses a request wants no other, in milliseconds, empty if it does
  *     not tell
  * @param coldMillis how much longer the server is cold, in milliseconds, empty if it does not tell
+ * @param workPercent how long work takes on the server at the moment, in percent of the usual time, 0 if it does not
+ *     tell
  * @param malformed the names of headers whose value cannot be used, separated by commas, empty if there is none
  */
 public record BackendResponseHead(
@@ -29,4 +31,5 @@
         boolean isLeaving,
         OptionalDouble pauseMillis,
         OptionalLong coldMillis,
+        int workPercent,
         String malformed) {}
--- a/gateway/src/main/java/io/hornbeamscale/gateway/Gateway.java
+++ b/gateway/src/main/java/io/hornbeamscale/gateway/Gateway.java
@@ -25,13 +25,11 @@
 import java.io.UncheckedIOException;
 import java.nio.ByteBuffer;
 import java.nio.charset.StandardCharsets;
-import java.util.ArrayList;
 import java.util.HashMap;
 import java.util.List;
 import java.util.Map;
 import java.util.Optional;
 import java.util.Set;
-import java.util.TreeSet;
 import java.util.concurrent.TimeUnit;
 import java.util.random.RandomGenerator;
 import org.xnio.OptionMap;
@@ -75,9 +73,6 @@
      */
     private static final long STORE_SILENCE_MILLIS = 400;
 
-    /** The relative change of the estimated time per event from which on it is sent to the other entries again. */
-    private static final double MIN_PACE_CHANGE = 0.05;
-
     /**
      * The maximum size of the values that are passed on to every other entry, in bytes. A large document would fill the
      * links of small VMs, which carry 7 Mbit/s.
@@ -111,7 +106,7 @@
     private final GatewayHandler handler;
     private final GatewayServer server;
     private final EntryRoster roster = new EntryRoster();
-    private final Map<String, Long> sentEventMicros = new HashMap<>();
+    private final StatusLoads statusLoads = new StatusLoads();
     private Set<String> rosterNames = Set.of();
     private long nextStatusMillis;
     private long storeLagSinceMillis;
@@ -273,9 +268,11 @@
 
     /** Reads load and pace on the traffic thread and sends them from the control thread. */
     private void collectStatus() {
-        Map<String, ServerLoad> loads = traffic.loads().own();
+        Map<String, ServerLoad> own = traffic.loads().own();
         Map<String, Double> pace = traffic.pace().all();
-        control.execute(() -> sendStatus(loads, pace));
+        Map<String, Integer> workPercents = traffic.pace().allWorkPercents();
+        long queuedTokens = traffic.queuedTokens();
+        control.execute(() -> sendStatus(statusLoads.next(own, pace, workPercents), queuedTokens));
     }
 
     /**
@@ -316,27 +313,9 @@
         }
     }
 
-    private void sendStatus(Map<String, ServerLoad> own, Map<String, Double> pace) {
+    private void sendStatus(List<EntryStatusMessage.BackendLoad> loads, long queuedTokens) {
         long now = ControlLoop.now();
         nextStatusMillis = now + STATUS_INTERVAL_MILLIS + STATUS_INTERVAL_MILLIS_PER_ENTRY * peers.size();
-        Set<String> servers = new TreeSet<>(own.keySet());
-        servers.addAll(pace.keySet());
-        List<EntryStatusMessage.BackendLoad> loads = new ArrayList<>();
-        for (String id : servers) {
-            ServerLoad load = own.getOrDefault(id, ServerLoad.NONE);
-            long eventMicros = Math.round(pace.getOrDefault(id, 0.0) * MICROS_PER_MILLI);
-            boolean isPaceNew = Math.abs(eventMicros - sentEventMicros.getOrDefault(id, 0L))
-                    > MIN_PACE_CHANGE * sentEventMicros.getOrDefault(id, 0L);
-            if (load.equals(ServerLoad.NONE) && !isPaceNew) {
-                continue;
-            }
-            if (isPaceNew) {
-                sentEventMicros.put(id, eventMicros);
-            }
-            loads.add(new EntryStatusMessage.BackendLoad(
-                    id, load.requests(), load.tokens(), load.prefillTokens(), load.usedTokens(), eventMicros));
-        }
-        sentEventMicros.keySet().retainAll(pace.keySet());
         peers.broadcast(
                 new EntryStatusMessage(
                         settings.node(),
@@ -344,6 +323,7 @@
                         follower.documentVersion(),
                         !follower.isStoreLost(),
                         follower.hasWorkingWatch(),
+                        queuedTokens,
                         loads),
                 now);
     }
@@ -439,9 +419,12 @@
             }
             thread.execute(() -> {
                 traffic.loads().peerReported(status.node(), loads, now);
+                traffic.queuedDemand().peerReported(status.node(), status.queuedTokens(), now);
                 traffic.placeWaiting();
-                status.loads()
-                        .forEach(l -> traffic.pace().peerReported(l.server(), l.eventMicros() / MICROS_PER_MILLI));
+                for (EntryStatusMessage.BackendLoad load : status.loads()) {
+                    traffic.pace().peerReported(load.server(), load.eventMicros() / MICROS_PER_MILLI);
+                    traffic.pace().workTimeStated(load.server(), load.workPercent());
+                }
             });
             watches.statusReceived(status.node(), status.isWatching(), now);
             if (status.isStoreReachable() && status.isWatching()) {
--- a/gateway/src/main/java/io/hornbeamscale/gateway/StreamCandidates.java
+++ b/gateway/src/main/java/io/hornbeamscale/gateway/StreamCandidates.java
@@ -76,6 +76,30 @@
         return traffic.generationPlacement().choose(servers(), engine(), size, terms(), nowMillis, traffic.random());
     }
 
+    /**
+     * Chooses the server for a new run of a queued stream, within this entry's share of the room at each server; empty
+     * if there is none now.
+     */
+    Optional<FleetServer> chooseQueued(long nowMillis) {
+        Set<String> denied = new HashSet<>();
+        while (true) {
+            Optional<FleetServer> chosen = traffic.generationPlacement()
+                    .choose(servers(), engine(), size, termsExcluding(denied), nowMillis, traffic.random());
+            if (chosen.isEmpty() || isWithinShare(chosen.get(), nowMillis)) {
+                if (!denied.isEmpty()) {
+                    traffic.placeWaitingAfterDraw();
+                }
+                return chosen;
+            }
+            denied.add(chosen.get().id());
+        }
+    }
+
+    private boolean isWithinShare(FleetServer server, long nowMillis) {
+        int places = traffic.generationPlacement().places(server, engine(), size, nowMillis);
+        return traffic.queuedDemand().tryTake(server.id(), traffic.queuedTokens(), places, nowMillis, traffic.random());
+    }
+
     /** Chooses the server that receives a backup copy while another one runs the stream. */
     Optional<FleetServer> backupFor(FleetServer runsOn, long nowMillis) {
         if (!engine().canBackUp() || size.expectedTokens() < MIN_BACKUP_TOKENS) {
--- a/gateway/src/main/java/io/hornbeamscale/gateway/StreamRelay.java
+++ b/gateway/src/main/java/io/hornbeamscale/gateway/StreamRelay.java
@@ -13,6 +13,7 @@
 import java.util.List;
 import java.util.Optional;
 import java.util.concurrent.TimeUnit;
+import java.util.function.LongFunction;
 
 /**
  * Relays a request whose response is a stream of events. The generation runs only once: if its server leaves, the state
@@ -95,6 +96,15 @@
 
     /** Sends the request to a server with room, if there is one. Returns whether it need not wait any longer. */
     boolean tryPlace() {
+        return tryPlace(candidates::choose);
+    }
+
+    /** Does the same for a request that has waited, for which other entries have queued requests as well. */
+    boolean tryPlaceQueued() {
+        return tryPlace(candidates::chooseQueued);
+    }
+
+    private boolean tryPlace(LongFunction<Optional<FleetServer>> choice) {
         if (isEnded() || refuseIfStopping()) {
             return true;
         }
@@ -104,7 +114,7 @@
             failAsQuarantined();
             return true;
         }
-        Optional<FleetServer> chosen = candidates.choose(now);
+        Optional<FleetServer> chosen = choice.apply(now);
         if (chosen.isEmpty()) {
             return false;
         }
@@ -399,6 +409,7 @@
         traffic().metrics().count("waited");
         long limit = PlacementQueue.maxWaitMillis(need, nowMillis);
         traffic().log().waits(request(), servers.size(), candidates.ineligible(nowMillis), ahead, limit);
+        traffic().scheduleStatus();
         traffic().placeWaitingAfterLimits();
         after(limit, () -> {
             if (current == null) {
--- a/gateway/src/main/java/io/hornbeamscale/gateway/TrafficState.java
+++ b/gateway/src/main/java/io/hornbeamscale/gateway/TrafficState.java
@@ -14,6 +14,7 @@
 import io.hornbeamscale.core.placement.LoadTracker;
 import io.hornbeamscale.core.placement.PlacementQueue;
 import io.hornbeamscale.core.placement.PlainPlacement;
+import io.hornbeamscale.core.placement.QueuedDemand;
 import io.hornbeamscale.core.placement.ServerLoad;
 import io.hornbeamscale.core.route.RoutedService;
 import java.util.HashMap;
@@ -43,6 +44,9 @@
 
     private static final int STATUS_REDIRECT = 300;
 
+    /** The pause after which a share of the room at a server is drawn again, in milliseconds. */
+    private static final long DRAW_RETRY_MILLIS = 55;
+
     private final XnioIoThread thread;
     private final Blackboard blackboard;
     private final ExchangeCodec codec;
@@ -63,12 +67,14 @@
     private final WindowedRetryBudget repeats;
     private final Set<Relay> running = new LinkedHashSet<>();
     private final PlacementQueue<StreamRelay> waitingStreams = new PlacementQueue<>();
+    private final QueuedDemand queuedDemand = new QueuedDemand();
     private final Map<String, Endpoint> knownAddresses = new HashMap<>();
     private CrashDetector crashDetector;
     private Runnable statusSender = () -> {};
     private Consumer<FleetServer> leavingListener = server -> {};
     private boolean isStatusDue;
     private boolean isPlacementScheduled;
+    private boolean isDrawScheduled;
 
     TrafficState(
             XnioIoThread thread,
@@ -175,6 +181,7 @@
             metrics.count("pauses");
             log.serverPaused(server.id(), head.pauseMillis().getAsDouble());
         }
+        pace.workTimeStated(server.id(), head.workPercent());
         head.coldMillis().ifPresent(millis -> eligibility.coldReported(server, millis, nowMillis));
         if (!head.malformed().isEmpty()) {
             log.malformedHeader(server.id(), head.malformed());
@@ -242,6 +249,22 @@
     /** Adds the load of a request that is sent to a server, and schedules a status message to the other entries. */
     void placed(String server, ServerLoad load) {
         loads.add(server, load);
+        scheduleStatus();
+    }
+
+    QueuedDemand queuedDemand() {
+        return queuedDemand;
+    }
+
+    /** Returns the prompt tokens of the streams that wait at this entry. */
+    long queuedTokens() {
+        return waitingStreams.inOrder().stream()
+                .mapToLong(stream -> stream.size().promptTokens())
+                .sum();
+    }
+
+    /** Schedules a status message to the other entries. */
+    void scheduleStatus() {
         if (!isStatusDue) {
             isStatusDue = true;
             thread.executeAfter(this::sendStatus, STATUS_DELAY_MILLIS, TimeUnit.MILLISECONDS);
@@ -283,13 +306,27 @@
     /** Tries to place the waiting streams, in their order. */
     void placeWaiting() {
         for (StreamRelay stream : waitingStreams.inOrder()) {
-            if (stream.tryPlace()) {
+            if (stream.tryPlaceQueued()) {
                 waitingStreams.remove(stream);
             }
         }
         placeWaitingAfterLimits();
     }
 
+    /** Schedules the placement of waiting streams for when a share of the room at a server is drawn again. */
+    void placeWaitingAfterDraw() {
+        if (!isDrawScheduled) {
+            isDrawScheduled = true;
+            thread.executeAfter(
+                    () -> {
+                        isDrawScheduled = false;
+                        placeWaiting();
+                    },
+                    DRAW_RETRY_MILLIS,
+                    TimeUnit.MILLISECONDS);
+        }
+    }
+
     private OptionalLong nextPlacementMillis(long nowMillis) {
         return waitingStreams.inOrder().stream()
                 .map(stream -> stream.candidates().earliestWaitMillis(nowMillis))
@@ -339,6 +376,7 @@
                 pace.forget(id);
                 copyLinks.forget(id);
                 eligibility.forget(id);
+                queuedDemand.forget(id);
             }
             return isGone;
         });
--- a/wire/src/main/java/io/hornbeamscale/wire/message/EntryStatusMessage.java
+++ b/wire/src/main/java/io/hornbeamscale/wire/message/EntryStatusMessage.java
@@ -11,6 +11,7 @@
  * @param documentVersion the version of the configuration document in force at the entry, 0 if there is none
  * @param isStoreReachable whether the last call of the entry to the store succeeded
  * @param isWatching whether the entry watches the store itself and passes changes on
+ * @param queuedTokens the prompt tokens of the streams that wait at the entry for a server with room
  * @param loads the load of each backend server that runs requests of the entry, and the speed of servers whose estimate
  *     has changed; null becomes empty
  */
@@ -20,6 +21,7 @@
         @JsonProperty("d") long documentVersion,
         @JsonProperty("h") boolean isStoreReachable,
         @JsonProperty("w") boolean isWatching,
+        @JsonProperty("q") long queuedTokens,
         @JsonProperty("l") List<BackendLoad> loads)
         implements Message {
     /** Replaces missing optional fields. */
@@ -38,6 +40,7 @@
      * @param usedTokens the engine memory that these requests use at present, in tokens
      * @param eventMicros the entry's estimate of the time per event of a stream without other load, in microseconds, 0
      *     if unknown
+     * @param workPercent the lowest time of work that the server has stated, in percent of the usual time, 0 if unknown
      */
     public record BackendLoad(
             @JsonProperty("s") String server,
@@ -45,7 +48,8 @@
             @JsonProperty("m") long tokens,
             @JsonProperty("p") long prefillTokens,
             @JsonProperty("u") long usedTokens,
-            @JsonProperty("e") long eventMicros) {
+            @JsonProperty("e") long eventMicros,
+            @JsonProperty("k") int workPercent) {
         /** Replaces a missing server id by an empty one. */
         public BackendLoad {
             server = server == null ? "" : server;
