Add the admission queue for streams at an entry

Cause: PlacementQueue ordered by arrival and priority and estimated the wait by prompt tokens. Memory, the scarce resource, was not considered, so streams waited long and were then refused, or were placed after their objective. Change: core.admission orders by timeliness, fair shares, priority, work and arrival, with a minimum share for each route; estimates the wait from admissions under shortage and memory in use; refuses at once or while waiting with a Retry-After that states when capacity is expected; bounds the work of a pass. PlacementQueue is removed; its tests moved, with lower limits, since a stream waits for its objective instead of twice that. Result: verify with AdmissionQueueTest (36), RepeatDetectorTest (4), LayeringTest, LoadTrackerTest, GatewayTest (51), ServerLimitTest (4), GatewayStopTest (3), CrashingPromptPartTest (3) and PlatformLayeringTest passes. Not measured under load.

--- a/core/src/main/java/io/hornbeamscale/core/placement/LoadTracker.java
+++ b/core/src/main/java/io/hornbeamscale/core/placement/LoadTracker.java
@@ -58,9 +58,14 @@
      * @param peer the name of the entry, not null
      * @param loads the load that it has placed, by server id, not null
      * @param nowMillis the present time
+     * @return whether some server has less of any load than in the report before, so that room may have become free
      */
-    public void peerReported(String peer, Map<String, ServerLoad> loads, long nowMillis) {
-        peers.put(peer, new PeerLoads(Map.copyOf(loads), nowMillis));
+    public boolean peerReported(String peer, Map<String, ServerLoad> loads, long nowMillis) {
+        PeerLoads before = peers.put(peer, new PeerLoads(Map.copyOf(loads), nowMillis));
+        return before != null
+                && before.loads.entrySet().stream()
+                        .anyMatch(e ->
+                                loads.getOrDefault(e.getKey(), ServerLoad.NONE).isAnyLess(e.getValue()));
     }
 
     /**
--- a/core/src/main/java/io/hornbeamscale/core/placement/ServerLoad.java
+++ b/core/src/main/java/io/hornbeamscale/core/placement/ServerLoad.java
@@ -52,4 +52,17 @@
                 prefillTokens - other.prefillTokens,
                 usedTokens - other.usedTokens);
     }
+
+    /**
+     * Returns whether any part of this load is less than that of another one.
+     *
+     * @param other the other load, not null
+     * @return whether a request may fit beside this load that did not fit beside the other one
+     */
+    public boolean isAnyLess(ServerLoad other) {
+        return requests < other.requests
+                || tokens < other.tokens
+                || prefillTokens < other.prefillTokens
+                || usedTokens < other.usedTokens;
+    }
 }
--- a/gateway/src/main/java/io/hornbeamscale/gateway/Gateway.java
+++ b/gateway/src/main/java/io/hornbeamscale/gateway/Gateway.java
@@ -418,8 +418,7 @@
                         new ServerLoad(load.requests(), load.tokens(), load.prefillTokens(), load.usedTokens()));
             }
             thread.execute(() -> {
-                traffic.loads().peerReported(status.node(), loads, now);
-                traffic.placeWaiting();
+                traffic.peerReported(status.node(), loads, now);
                 status.loads()
                         .forEach(l -> traffic.pace().peerReported(l.server(), l.eventMicros() / MICROS_PER_MILLI));
             });
--- a/gateway/src/main/java/io/hornbeamscale/gateway/GatewayMetrics.java
+++ b/gateway/src/main/java/io/hornbeamscale/gateway/GatewayMetrics.java
@@ -2,6 +2,7 @@
 
 import com.codahale.metrics.Histogram;
 import com.codahale.metrics.MetricRegistry;
+import io.hornbeamscale.core.admission.AdmissionEvent;
 import io.hornbeamscale.core.route.RequestKind;
 import java.util.Locale;
 
@@ -11,6 +12,7 @@
 
     private final MetricRegistry registry = new MetricRegistry();
     private final Histogram firstEvent = registry.histogram("first_event_millis");
+    private final Histogram admissionWait = registry.histogram("admission_wait_millis");
 
     MetricRegistry registry() {
         return registry;
@@ -32,6 +34,16 @@
         firstEvent.update(millis);
     }
 
+    /** Records how long a stream waited for room before it was sent, 0 if it did not wait. */
+    void admitted(long waitMillis) {
+        admissionWait.update(waitMillis);
+    }
+
+    /** Counts a decision of the admission. */
+    void admission(AdmissionEvent event) {
+        count("admission_" + event.name().toLowerCase(Locale.ROOT));
+    }
+
     void count(String name) {
         registry.counter(name).inc();
     }
--- a/gateway/src/main/java/io/hornbeamscale/gateway/RelayRequest.java
+++ b/gateway/src/main/java/io/hornbeamscale/gateway/RelayRequest.java
@@ -1,5 +1,7 @@
 package io.hornbeamscale.gateway;
 
+import io.hornbeamscale.core.admission.AdmissionRequest;
+import io.hornbeamscale.core.admission.RepeatDetector;
 import io.hornbeamscale.core.placement.GenerationSize;
 import io.hornbeamscale.core.route.Customer;
 import io.hornbeamscale.core.route.RequestKind;
@@ -7,6 +9,7 @@
 import io.hornbeamscale.core.route.RoutedService;
 import io.undertow.util.HeaderMap;
 import java.nio.ByteBuffer;
+import java.util.Objects;
 import java.util.Optional;
 
 /**
@@ -44,6 +47,9 @@
     /** The assumed length of a response if the headers do not tell, in tokens. */
     private static final long DEFAULT_TOKENS = 256;
 
+    /** The length of the end of a body that distinguishes requests; prompts may begin with the same text. */
+    private static final int MAX_HASHED_BYTES = 16 * 1024;
+
     /** Returns the request id for log lines, "-" if there is none. */
     String id() {
         return head.requestId().orElse("-");
@@ -91,6 +97,38 @@
         return new GenerationSize(head.promptTokens(), expected > 0 ? expected : DEFAULT_TOKENS);
     }
 
+    /**
+     * Returns what the admission of the generation depends on.
+     *
+     * @param isRepeat whether the caller repeats a refused request too early
+     */
+    AdmissionRequest admission(boolean isRepeat) {
+        GenerationSize size = size();
+        return new AdmissionRequest(
+                service.name(),
+                route.name(),
+                customerName(),
+                Math.max(0, priority()),
+                size.promptTokens(),
+                size.expectedTokens(),
+                arrivedAtMillis,
+                Math.max(0, route.objectiveMillis()),
+                deadlineMillis,
+                isRepeat);
+    }
+
+    /** Returns what is the same in a repeat of this request. */
+    RepeatDetector.Key identity() {
+        int hashed = Math.min(body.remaining(), MAX_HASHED_BYTES);
+        ByteBuffer end = body.slice(body.limit() - hashed, hashed);
+        return new RepeatDetector.Key(
+                customerName(), route.name(), Objects.hash(method, target, body.remaining(), end));
+    }
+
+    private String customerName() {
+        return customer.map(Customer::name).orElse("");
+    }
+
     /** Returns the greatest length of the response, in tokens, or the expected length if the caller sets no limit. */
     long maxTokens() {
         return head.maxOutputTokens() > 0 ? head.maxOutputTokens() : size().expectedTokens();
--- a/gateway/src/main/java/io/hornbeamscale/gateway/TrafficState.java
+++ b/gateway/src/main/java/io/hornbeamscale/gateway/TrafficState.java
@@ -1,5 +1,8 @@
 package io.hornbeamscale.gateway;
 
+import io.hornbeamscale.core.admission.AdmissionQueue;
+import io.hornbeamscale.core.admission.AdmissionRequest;
+import io.hornbeamscale.core.admission.RepeatDetector;
 import io.hornbeamscale.core.blackboard.Blackboard;
 import io.hornbeamscale.core.fleet.Endpoint;
 import io.hornbeamscale.core.fleet.FleetServer;
@@ -11,7 +14,6 @@
 import io.hornbeamscale.core.placement.GenerationPlacement;
 import io.hornbeamscale.core.placement.HealthTracker;
 import io.hornbeamscale.core.placement.LoadTracker;
-import io.hornbeamscale.core.placement.PlacementQueue;
 import io.hornbeamscale.core.placement.PlainPlacement;
 import io.hornbeamscale.core.placement.ServerLoad;
 import java.util.HashMap;
@@ -37,6 +39,12 @@
      */
     private static final long STATUS_DELAY_MILLIS = 10;
 
+    /**
+     * How long the placement of waiting streams is delayed after a report of another entry, in milliseconds. Each of
+     * up to 24 entries reports every {@link #STATUS_DELAY_MILLIS} at the most; one attempt serves several reports.
+     */
+    private static final long PEER_PLACEMENT_DELAY_MILLIS = 5;
+
     private static final int STATUS_REDIRECT = 300;
 
     private final XnioIoThread thread;
@@ -57,12 +65,14 @@
     private final PlainPlacement plainPlacement;
     private final WindowedRetryBudget repeats;
     private final Set<Relay> running = new LinkedHashSet<>();
-    private final PlacementQueue<StreamRelay> waitingStreams = new PlacementQueue<>();
+    private final AdmissionQueue<StreamRelay> waitingStreams;
+    private final RepeatDetector repeatDetector = new RepeatDetector();
     private final Map<String, Endpoint> knownAddresses = new HashMap<>();
     private CrashDetector crashDetector;
     private Runnable statusSender = () -> {};
     private boolean isStatusDue;
     private boolean isPlacementScheduled;
+    private boolean isPlacementDue;
 
     TrafficState(
             XnioIoThread thread,
@@ -83,6 +93,7 @@
         this.metrics = metrics;
         this.log = log;
         this.random = random;
+        waitingStreams = new AdmissionQueue<>(metrics::admission);
         limits = new ServerRateLimits(settings.node());
         generationPlacement =
                 new GenerationPlacement(loads, health, pace, copyLinks, limits, settings.zone(), settings.regions());
@@ -148,7 +159,7 @@
         boolean isSuccess = status < STATUS_REDIRECT && head.hasSignature() && !head.statesNotRun();
         if (limits.responded(server, head.requestLimit(), isSuccess, sentAtMillis, nowMillis)) {
             log.limitChanged(server, head.requestLimit(), limits.requestsPerSecond(server));
-            thread.execute(this::placeWaiting);
+            placeWaitingSoon(0);
         }
     }
 
@@ -179,9 +190,9 @@
     void relayEnded(Relay relay) {
         running.remove(relay);
         if (relay instanceof StreamRelay stream) {
-            waitingStreams.remove(stream);
+            waitingStreams.ended(stream, ControlLoop.now());
         }
-        thread.execute(this::placeWaiting);
+        placeWaitingSoon(0);
     }
 
     /** Returns the number of requests without a complete response. */
@@ -231,17 +242,53 @@
     }
 
     /** Returns the streams that wait for a server with free capacity. */
-    PlacementQueue<StreamRelay> waitingStreams() {
+    AdmissionQueue<StreamRelay> waitingStreams() {
         return waitingStreams;
     }
 
-    /** Tries to place the waiting streams, in their order. */
+    RepeatDetector repeatDetector() {
+        return repeatDetector;
+    }
+
+    /** Counts a stream that is about to be sent to a server that has room for it. */
+    void admitted(StreamRelay stream, AdmissionRequest request, long nowMillis) {
+        waitingStreams.placed(stream, request, nowMillis);
+        metrics.admitted(nowMillis - request.arrivedAtMillis());
+    }
+
+    /** Handles the load that another entry has placed. Waiting streams are tried if it has become less somewhere. */
+    void peerReported(String peer, Map<String, ServerLoad> reported, long nowMillis) {
+        if (loads.peerReported(peer, reported, nowMillis)) {
+            placeWaitingSoon(PEER_PLACEMENT_DELAY_MILLIS);
+        }
+    }
+
+    /** Schedules one attempt to place the waiting streams, if there are any and none is scheduled yet. */
+    private void placeWaitingSoon(long delayMillis) {
+        if (waitingStreams.isEmpty() || (isPlacementDue && delayMillis > 0)) {
+            return;
+        }
+        isPlacementDue = true;
+        Runnable task = () -> {
+            isPlacementDue = false;
+            placeWaiting();
+        };
+        if (delayMillis == 0) {
+            thread.execute(task);
+        } else {
+            thread.executeAfter(task, delayMillis, TimeUnit.MILLISECONDS);
+        }
+    }
+
+    /** Tries to place the waiting streams, in their order, and refuses those that cannot be placed in time. */
     void placeWaiting() {
-        for (StreamRelay stream : waitingStreams.inOrder()) {
-            if (stream.tryPlace()) {
-                waitingStreams.remove(stream);
-            }
+        if (waitingStreams.isEmpty()) {
+            return;
         }
+        waitingStreams.place(StreamRelay::tryPlace, ControlLoop.now());
+        waitingStreams
+                .refusals(random, ControlLoop.now())
+                .forEach(refusal -> refusal.item().refuse(refusal.retryAfterMillis(), "no server had room in time"));
         placeWaitingAfterLimits();
     }
 
