--- a/core/src/main/java/io/hornbeamscale/core/admission/AdmissionQueue.java
+++ b/core/src/main/java/io/hornbeamscale/core/admission/AdmissionQueue.java
@@ -106,7 +106,7 @@
         if (isTooLate(arrival, nowMillis)) {
             waiting.remove(arrival);
             events.accept(AdmissionEvent.REFUSED_EARLY);
-            return Optional.of(retryAfterMillis(request, random, nowMillis));
+            return Optional.of(retryAfterMillis(arrival, random, nowMillis));
         }
         arrival.isWaiting = true;
         capacity.rate().waitingChanged(1, nowMillis);
@@ -211,37 +211,12 @@
             if (nowMillis >= each.limitAtMillis || isHopeless) {
                 remove(each, nowMillis);
                 events.accept(AdmissionEvent.REFUSED_WAITING);
-                refused.add(new Refusal<>(each.item, retryAfterMillis(each.request, random, nowMillis)));
+                refused.add(new Refusal<>(each.item, retryAfterMillis(each, random, nowMillis)));
             }
         }
         return refused;
     }
 
-    /**
-     * Returns after which time the caller of a refused request should return: when capacity is expected, spread over
-     * callers, but not longer than a caller follows.
-     *
-     * @param request the request, not null
-     * @param random the source for the spread, not null
-     * @param nowMillis the present time
-     * @return the time, in milliseconds
-     */
-    public long retryAfterMillis(AdmissionRequest request, RandomGenerator random, long nowMillis) {
-        CapacityClass capacity = classOf(request);
-        long ahead = 0;
-        for (WaitingRequest<T> each : waiting) {
-            ahead += each.capacity == capacity ? each.request.memoryTokens() : 0;
-        }
-        double expected = Math.max(MIN_RETRY_AFTER_MILLIS, capacity.capacityMillis(ahead, request, nowMillis));
-        double spread = expected * (1 + SPREAD_SHARE * random.nextDouble());
-        double followed = Math.max(0, request.deadlineMillis() - nowMillis) / (double) FOLLOWED_PARTS;
-        if (spread > followed) {
-            spread = followed * (1 - SPREAD_SHARE * random.nextDouble());
-        }
-        capacity.willReturn(request, nowMillis + (long) spread);
-        return (long) spread;
-    }
-
     /**
      * Returns whether no request waits.
      *
@@ -322,21 +297,44 @@
     }
 
     private double waitMillis(WaitingRequest<T> request, long nowMillis) {
-        long memory = 0;
+        List<WaitingRequest<T>> ahead = waiting.subList(0, waiting.indexOf(request));
+        return Math.max(
+                prefillMillis(ahead, request),
+                request.capacity.waitMillis(memoryTokens(ahead, request.capacity), request.request, nowMillis));
+    }
+
+    /**
+     * Returns after which time the caller of a refused request should return: when capacity is expected behind the
+     * waiting requests, spread over callers, but not longer than a caller follows.
+     */
+    private long retryAfterMillis(WaitingRequest<T> refused, RandomGenerator random, long nowMillis) {
+        double capacity =
+                refused.capacity.capacityMillis(memoryTokens(waiting, refused.capacity), refused.request, nowMillis);
+        double expected = Math.max(MIN_RETRY_AFTER_MILLIS, Math.max(prefillMillis(waiting, refused), capacity));
+        double spread = expected * (1 + SPREAD_SHARE * random.nextDouble());
+        double followed = Math.max(0, refused.request.deadlineMillis() - nowMillis) / (double) FOLLOWED_PARTS;
+        if (spread > followed) {
+            spread = followed * (1 - SPREAD_SHARE * random.nextDouble());
+        }
+        refused.capacity.willReturn(refused.request, nowMillis + (long) spread);
+        return (long) spread;
+    }
+
+    /** Returns how long the servers take to process the prompts that wait ahead of a request, in milliseconds. */
+    private double prefillMillis(List<WaitingRequest<T>> ahead, WaitingRequest<T> request) {
         long prompts = 0;
-        for (WaitingRequest<T> each : waiting) {
-            if (each == request) {
-                break;
-            }
-            if (each.request.service().equals(request.request.service())) {
-                prompts += each.request.promptTokens();
-                memory += each.capacity == request.capacity ? each.request.memoryTokens() : 0;
-            }
+        for (WaitingRequest<T> each : ahead) {
+            prompts += each.request.service().equals(request.request.service()) ? each.request.promptTokens() : 0;
         }
-        double servers = request.servers > 0 ? request.servers : 1;
-        return Math.max(
-                prompts / (AdmissionRequest.PREFILL_TOKENS_PER_MILLI * servers),
-                request.capacity.waitMillis(memory, request.request, nowMillis));
+        return prompts / (AdmissionRequest.PREFILL_TOKENS_PER_MILLI * (request.servers > 0 ? request.servers : 1));
+    }
+
+    private long memoryTokens(List<WaitingRequest<T>> requests, CapacityClass capacity) {
+        long tokens = 0;
+        for (WaitingRequest<T> each : requests) {
+            tokens += each.capacity == capacity ? each.request.memoryTokens() : 0;
+        }
+        return tokens;
     }
 
     private void countReordering(WaitingRequest<T> placed) {
--- a/core/src/test/java/io/hornbeamscale/core/admission/AdmissionQueueTest.java
+++ b/core/src/test/java/io/hornbeamscale/core/admission/AdmissionQueueTest.java
@@ -264,7 +264,9 @@
         @Test
         void comesEarlierIfALimitLeavesPartOfAServer() {
             assertTrue(queue.offer("first", request(0, 0), 0.125, random, 0).isEmpty());
-            assertTrue(queue.offer("second", request(0, 0), 0.125, random, 0).isPresent());
+            long retry = queue.offer("second", request(0, 0), 0.125, random, 0).orElseThrow();
+            // The prompt ahead takes 3,200 ms, but callers follow 2,000 ms.
+            assertTrue(retry >= 1_400 && retry <= 2_000, Long.toString(retry));
         }
 
         @Test
@@ -346,36 +348,53 @@
 
     @Nested
     class RetryAfter {
+        private static AdmissionRequest request(long deadline) {
+            return new AdmissionRequest("engines", "chat", "a", 0, 2_800, 700, 0, OBJECTIVE_MILLIS, deadline, false);
+        }
+
+        /** Refuses a request whose wait has ended, as of a time. */
+        private long refuse(AdmissionRequest request, long now) {
+            return offer("refused", request, now).orElseThrow();
+        }
+
         /** Callers follow a third of their remaining time. */
         @Test
         void isNeverLongerThanCallersFollow() {
-            runs(request(0, 0), 1, 0);
+            runs(request(6_000), 1, 0);
             for (int i = 0; i < 50; i++) {
-                assertTrue(queue.retryAfterMillis(request(0, 0), random, 3_000) <= 1_000);
+                assertTrue(refuse(request(6_100), 3_100) <= 1_000);
             }
-            assertEquals(0, queue.retryAfterMillis(request(0, 0), random, 7_000));
+            assertEquals(0, refuse(request(6_000), 7_000));
         }
 
         /** All callers that were refused in a burst came back together. */
         @Test
         void isLaterForEachFurtherCaller() {
-            runs(request(0, 0), 12, 0);
-            AdmissionRequest patient =
-                    new AdmissionRequest("engines", "chat", "a", 0, 2_800, 700, 0, OBJECTIVE_MILLIS, 60_000, false);
-            long first = queue.retryAfterMillis(patient, random, 0);
+            runs(request(60_000), 12, 0);
+            long first = refuse(request(60_000), 3_100);
             for (int i = 0; i < 8; i++) {
-                queue.retryAfterMillis(patient, random, 0);
+                refuse(request(60_000), 3_100);
             }
-            assertTrue(queue.retryAfterMillis(patient, random, 0) > 5 * first);
+            assertTrue(refuse(request(60_000), 3_100) > 5 * first);
         }
 
         @Test
         void isTheTimeAtWhichCapacityComes() {
-            runs(request(0, 0), 12, 0);
-            double millis = request(0, 0).durationMillis() / 12;
-            long retry = queue.retryAfterMillis(request(0, 0), random, 0);
+            runs(request(60_000), 12, 0);
+            double millis = request(0).durationMillis() / 12;
+            long retry = refuse(request(60_000), 3_100);
             assertTrue(retry >= (long) millis && retry <= 1.3 * millis, retry + " for " + millis);
         }
+
+        /** The prompts of 3 requests ahead take 1,200 ms at one server. */
+        @Test
+        void isTheTimeForThePromptsAheadIfNothingElseIsKnown() {
+            for (int i = 0; i < 3; i++) {
+                offerToOneServer("r" + i, request(6_000));
+            }
+            long retry = offerToOneServer("refused", request(6_000)).orElseThrow();
+            assertTrue(retry >= 1_200 && retry <= 1.3 * 1_200, Long.toString(retry));
+        }
     }
 
     @Nested
--- a/core/src/test/java/io/hornbeamscale/core/placement/LoadTrackerTest.java
+++ b/core/src/test/java/io/hornbeamscale/core/placement/LoadTrackerTest.java
@@ -1,6 +1,7 @@
 package io.hornbeamscale.core.placement;
 
 import static org.junit.jupiter.api.Assertions.assertEquals;
+import static org.junit.jupiter.api.Assertions.assertFalse;
 import static org.junit.jupiter.api.Assertions.assertTrue;
 
 import java.util.Map;
@@ -62,6 +63,16 @@
             assertEquals(new ServerLoad(2, 60, 40), loads.of("b", 10));
         }
 
+        /** Each report of an entry tried all waiting streams, though a report of more load makes no room. */
+        @Test
+        void tellWhetherRoomMayHaveBecomeFree() {
+            assertFalse(loads.peerReported("p", Map.of("a", LOAD), 0));
+            assertFalse(loads.peerReported("p", Map.of("a", LOAD), 10));
+            assertFalse(loads.peerReported("p", Map.of("a", LOAD.plus(LOAD), "b", LOAD), 20));
+            assertTrue(loads.peerReported("p", Map.of("a", LOAD.plus(LOAD)), 30));
+            assertTrue(loads.peerReported("p", Map.of("a", new ServerLoad(3, 60, 40, 59)), 40));
+        }
+
         @Test
         void expireWithoutANewReport() {
             loads.peerReported("p", Map.of("a", LOAD), 0);
--- a/gateway/src/main/java/io/hornbeamscale/gateway/DecisionLog.java
+++ b/gateway/src/main/java/io/hornbeamscale/gateway/DecisionLog.java
@@ -72,6 +72,16 @@
         }
     }
 
+    /** Logs that a stream is refused for lack of capacity, with what the caller is told and how many streams wait. */
+    void noRoom(RelayRequest request, long retryAfterMillis, int waiting) {
+        if (isAllowed("no_room")) {
+            requests.info(line("no_room", request)
+                    .with("customer", request.customerName())
+                    .with("retryAfterMillis", retryAfterMillis)
+                    .with("waiting", waiting));
+        }
+    }
+
     /** Logs that an attempt ended without a usable response and the request continues. */
     void repeated(RelayRequest request, FleetServer server, String why) {
         if (isAllowed("repeated")) {
--- a/gateway/src/main/java/io/hornbeamscale/gateway/RelayRequest.java
+++ b/gateway/src/main/java/io/hornbeamscale/gateway/RelayRequest.java
@@ -125,7 +125,8 @@
                 customerName(), route.name(), Objects.hash(method, target, body.remaining(), end));
     }
 
-    private String customerName() {
+    /** Returns the name of the customer, empty on public routes. */
+    String customerName() {
         return customer.map(Customer::name).orElse("");
     }
 
--- a/gateway/src/main/java/io/hornbeamscale/gateway/StreamRelay.java
+++ b/gateway/src/main/java/io/hornbeamscale/gateway/StreamRelay.java
@@ -440,6 +440,9 @@
     /** Refuses the request, which has not been sent, for lack of capacity. */
     void refuse(long retryAfterMillis, String why) {
         traffic().repeatDetector().refused(identity, retryAfterMillis, ControlLoop.now());
+        traffic()
+                .log()
+                .noRoom(request(), retryAfterMillis, traffic().waitingStreams().size());
         fail(ErrorKind.OVERLOADED, retryAfterMillis, why);
     }
 
