--- a/core/src/main/java/io/hornbeamscale/core/admission/AdmissionQueue.java
+++ b/core/src/main/java/io/hornbeamscale/core/admission/AdmissionQueue.java
@@ -207,7 +207,7 @@
         sort(nowMillis);
         List<Refusal<T>> refused = new ArrayList<>();
         for (WaitingRequest<T> each : List.copyOf(waiting)) {
-            boolean isHopeless = !isFirst(each) && nowMillis + waitMillis(each, nowMillis) > each.limitAtMillis;
+            boolean isHopeless = !isFirst(each) && nowMillis + likelyWaitMillis(each, nowMillis) > each.limitAtMillis;
             if (nowMillis >= each.limitAtMillis || isHopeless) {
                 remove(each, nowMillis);
                 events.accept(AdmissionEvent.REFUSED_WAITING);
@@ -280,7 +280,8 @@
         }
         long timely = arrival.request.latestTimelyMillis() - nowMillis;
         // A request that can only be late, such as one that a server has sent back, may wait to its limit.
-        return !isFirst(arrival) && waitMillis(arrival, nowMillis) > (timely > 0 ? Math.min(timely, limit) : limit);
+        return !isFirst(arrival)
+                && likelyWaitMillis(arrival, nowMillis) > (timely > 0 ? Math.min(timely, limit) : limit);
     }
 
     private boolean isFirst(WaitingRequest<T> request) {
@@ -296,11 +297,11 @@
         return !hasRoute || !hasClass;
     }
 
-    private double waitMillis(WaitingRequest<T> request, long nowMillis) {
+    private double likelyWaitMillis(WaitingRequest<T> request, long nowMillis) {
         List<WaitingRequest<T>> ahead = waiting.subList(0, waiting.indexOf(request));
         return Math.max(
                 prefillMillis(ahead, request),
-                request.capacity.waitMillis(memoryTokens(ahead, request.capacity), request.request, nowMillis));
+                request.capacity.likelyWaitMillis(memoryTokens(ahead, request.capacity), request.request, nowMillis));
     }
 
     /**
--- a/core/src/main/java/io/hornbeamscale/core/admission/CapacityClass.java
+++ b/core/src/main/java/io/hornbeamscale/core/admission/CapacityClass.java
@@ -14,6 +14,9 @@
      */
     private static final double MEDIAN_SHARE = 2.0 / 3;
 
+    /** The median divided by the wait that two of three admissions exceed. */
+    private static final double MEDIAN_TO_LIKELY_WAIT = 1.5;
+
     private final CapacityRate rate = new CapacityRate();
     private final CustomerShares shares = new CustomerShares();
     private final Deque<Return> returns = new ArrayDeque<>();
@@ -27,9 +30,13 @@
         return shares;
     }
 
-    /** Returns the median of the expected wait of a request with memory waiting ahead of it, in milliseconds. */
-    double waitMillis(long aheadTokens, AdmissionRequest request, long nowMillis) {
-        return (aheadTokens + MEDIAN_SHARE * request.memoryTokens()) / rate.tokensPerMilli(nowMillis);
+    /**
+     * Returns the wait that a request with memory waiting ahead of it exceeds with a probability of about 0.7, in
+     * milliseconds. A request is refused only if it would probably be late, since the rate rests on few admissions.
+     */
+    double likelyWaitMillis(long aheadTokens, AdmissionRequest request, long nowMillis) {
+        double median = (aheadTokens + MEDIAN_SHARE * request.memoryTokens()) / rate.tokensPerMilli(nowMillis);
+        return median / MEDIAN_TO_LIKELY_WAIT;
     }
 
     /**
