--- a/gateway/src/main/java/io/hornbeamscale/gateway/StreamCandidates.java
+++ b/gateway/src/main/java/io/hornbeamscale/gateway/StreamCandidates.java
@@ -1,11 +1,11 @@
 package io.hornbeamscale.gateway;
 
+import io.hornbeamscale.core.admission.AdmissionRequest;
 import io.hornbeamscale.core.eligibility.IneligibleReason;
 import io.hornbeamscale.core.eligibility.SendTerms;
 import io.hornbeamscale.core.eligibility.Verdict;
 import io.hornbeamscale.core.fleet.FleetServer;
 import io.hornbeamscale.core.placement.GenerationSize;
-import io.hornbeamscale.core.placement.PlacementQueue;
 import io.hornbeamscale.core.route.EngineSpec;
 import java.util.Collection;
 import java.util.HashSet;
@@ -137,7 +137,7 @@
     /** Returns the number of servers, of which those with a limit count by the prompts that it allows this entry. */
     double serversWithinLimits() {
         double promptsPerSecond =
-                PlacementQueue.PREFILL_TOKENS_PER_MILLI * MILLIS_PER_SECOND / Math.max(1, size.promptTokens());
+                AdmissionRequest.PREFILL_TOKENS_PER_MILLI * MILLIS_PER_SECOND / Math.max(1, size.promptTokens());
         return servers().stream()
                 .mapToDouble(server -> traffic.limits().requestsPerSecond(server.id()))
                 .map(limit -> Math.min(1, limit / promptsPerSecond))
