--- a/gateway/src/main/java/io/hornbeamscale/gateway/Gateway.java
+++ b/gateway/src/main/java/io/hornbeamscale/gateway/Gateway.java
@@ -418,9 +418,8 @@
                         new ServerLoad(load.requests(), load.tokens(), load.prefillTokens(), load.usedTokens()));
             }
             thread.execute(() -> {
-                traffic.loads().peerReported(status.node(), loads, now);
                 traffic.queuedDemand().peerReported(status.node(), status.queuedTokens(), now);
-                traffic.placeWaiting();
+                traffic.peerReported(status.node(), loads, now);
                 for (EntryStatusMessage.BackendLoad load : status.loads()) {
                     traffic.pace().peerReported(load.server(), load.eventMicros() / MICROS_PER_MILLI);
                     traffic.pace().workTimeStated(load.server(), load.workPercent());
