Decide in core when a slow request is sent to a second server

Cause: A request whose server is slow waits until 45 in 100 of its time limit have passed before it is sent elsewhere.

HealthTracker.cancelled raises the response time of a server whose slow sends are cancelled.

--- a/core/src/main/java/io/hornbeamscale/core/estimate/DecayedSketch.java
+++ b/core/src/main/java/io/hornbeamscale/core/estimate/DecayedSketch.java
@@ -36,7 +36,8 @@
         }
     }
 
-    private void halve() {
+    /** Halves the weight of all values, which lets the caller add a decay by time. */
+    public void halve() {
         Histogram halved = new Histogram(MAX_VALUE, SIGNIFICANT_DIGITS);
         for (HistogramIterationValue v : counts.recordedValues()) {
             long count = v.getCountAtValueIteratedTo() / 2;
--- a/core/src/main/java/io/hornbeamscale/core/limit/WindowedRetryBudget.java
+++ b/core/src/main/java/io/hornbeamscale/core/limit/WindowedRetryBudget.java
@@ -10,14 +10,11 @@
  * own requests. Not safe for use by several threads.
  */
 public final class WindowedRetryBudget {
-    /** The number of buckets in a window. */
-    private static final int BUCKETS = 40;
-
     private double ratio;
-    private long bucketMillis;
+    private long windowMillis;
     private double slack;
     private int entries = 1;
-    private final Map<String, Window> windows = new HashMap<>();
+    private final Map<String, SlidingCounts> windows = new HashMap<>();
 
     /**
      * Creates a budget for one entry.
@@ -34,15 +31,14 @@
      * Replaces the limits. If the length of the window changes, all counts are reset.
      *
      * @param newRatio the retries allowed per request, from 0 to 1
-     * @param windowMillis the length of the window, in milliseconds
+     * @param newWindowMillis the length of the window, in milliseconds
      * @param newSlack the additional retries that all entries together may send in a window
      */
-    public void setLimits(double newRatio, long windowMillis, double newSlack) {
+    public void setLimits(double newRatio, long newWindowMillis, double newSlack) {
         ratio = Arguments.inRange(newRatio, 0, 1, "newRatio");
         slack = newSlack;
-        long newBucketMillis = Math.max(1, Arguments.positive(windowMillis, "windowMillis") / BUCKETS);
-        if (newBucketMillis != bucketMillis) {
-            bucketMillis = newBucketMillis;
+        if (Arguments.positive(newWindowMillis, "newWindowMillis") != windowMillis) {
+            windowMillis = newWindowMillis;
             windows.clear();
         }
     }
@@ -63,7 +59,7 @@
      * @param nowMillis the present time
      */
     public void recordRequest(String service, long nowMillis) {
-        window(service, nowMillis).addRequest();
+        window(service).addRequest(nowMillis);
     }
 
     /**
@@ -74,58 +70,44 @@
      * @return whether the retry may be sent
      */
     public boolean tryRetry(String service, long nowMillis) {
-        Window window = window(service, nowMillis);
-        if (window.retries + 1 > ratio * window.requests + slack / entries) {
-            return false;
-        }
-        window.addRetry();
-        return true;
+        return tryExtra(service, 1, nowMillis);
     }
 
     /**
-     * Counts a retry that is sent regardless of the budget, such as the continuation of a stream.
+     * Takes one hedge, a second send of a request that still waits for the response to its first one, if the retries
+     * and hedges of the service leave a part of the budget unused. Retries after failures thus always find the rest of
+     * the budget, since they are needed more than hedges.
      *
      * @param service the service, not null
+     * @param usableShare the share of the budget that hedges may use up together with the retries, from 0 to 1
      * @param nowMillis the present time
+     * @return whether the hedge may be sent
      */
-    public void forceRetry(String service, long nowMillis) {
-        window(service, nowMillis).addRetry();
+    public boolean tryHedge(String service, double usableShare, long nowMillis) {
+        return tryExtra(service, Arguments.inRange(usableShare, 0, 1, "usableShare"), nowMillis);
     }
 
-    private Window window(String service, long nowMillis) {
-        Window window = windows.computeIfAbsent(service, k -> new Window());
-        window.advance(Math.floorDiv(nowMillis, bucketMillis));
-        return window;
+    /**
+     * Counts a retry that is sent regardless of the budget, such as the continuation of a stream.
+     *
+     * @param service the service, not null
+     * @param nowMillis the present time
+     */
+    public void forceRetry(String service, long nowMillis) {
+        window(service).addExtra(nowMillis);
     }
 
-    /** The counts of one service. One extra bucket ensures that any time range of the window's length is covered. */
-    private static final class Window {
-        private final int[] requestsByBucket = new int[BUCKETS + 1];
-        private final int[] retriesByBucket = new int[BUCKETS + 1];
-        private long newest = Long.MIN_VALUE;
-        private int requests;
-        private int retries;
-
-        void advance(long bucket) {
-            long first = Math.max(newest + 1, bucket - BUCKETS);
-            for (long each = first; each <= bucket; each++) {
-                int index = Math.floorMod(each, BUCKETS + 1);
-                requests -= requestsByBucket[index];
-                retries -= retriesByBucket[index];
-                requestsByBucket[index] = 0;
-                retriesByBucket[index] = 0;
-            }
-            newest = Math.max(newest, bucket);
-        }
-
-        void addRequest() {
-            requests++;
-            requestsByBucket[Math.floorMod(newest, BUCKETS + 1)]++;
+    private boolean tryExtra(String service, double usableShare, long nowMillis) {
+        SlidingCounts window = window(service);
+        double allowed = usableShare * (ratio * window.requests(nowMillis) + slack / entries);
+        if (window.extras(nowMillis) + 1 > allowed) {
+            return false;
         }
+        window.addExtra(nowMillis);
+        return true;
+    }
 
-        void addRetry() {
-            retries++;
-            retriesByBucket[Math.floorMod(newest, BUCKETS + 1)]++;
-        }
+    private SlidingCounts window(String service) {
+        return windows.computeIfAbsent(service, k -> new SlidingCounts(windowMillis));
     }
 }
--- a/core/src/main/java/io/hornbeamscale/core/placement/HealthTracker.java
+++ b/core/src/main/java/io/hornbeamscale/core/placement/HealthTracker.java
@@ -43,6 +43,24 @@
         health.ejectedUntilMillis = Long.MIN_VALUE;
     }
 
+    /**
+     * Records a send that this entry cancelled before its response, because another server responded first. The
+     * response would have taken longer than the time until then, so that the moving average can only rise. Without this
+     * record, a server whose slow responses are all cancelled would keep the estimate of its fast ones. It must not be
+     * used for a send that was cancelled soon: on a server that has not responded yet, the time becomes the average.
+     *
+     * @param server the id of the server, not null
+     * @param millis the time from sending to the cancellation, in milliseconds
+     */
+    public void cancelled(String server, long millis) {
+        Health health = of(server);
+        if (health.responseMillis < 0) {
+            health.responseMillis = millis;
+        } else if (millis > health.responseMillis) {
+            health.responseMillis += OUTCOME_WEIGHT * (millis - health.responseMillis);
+        }
+    }
+
     /**
      * Records a failed exchange: the server closed the connection, did not respond or sent an invalid response.
      *
--- a/core/src/test/java/io/hornbeamscale/core/placement/HealthTrackerTest.java
+++ b/core/src/test/java/io/hornbeamscale/core/placement/HealthTrackerTest.java
@@ -82,4 +82,39 @@
             assertEquals(0, health.failureRate("a"));
         }
     }
+
+    /** Guards against a slow server that looks fast because its slow responses are all cancelled. */
+    @Nested
+    class CancelledSend {
+        private final HealthTracker health = new HealthTracker();
+
+        @Test
+        void raisesTheResponseTime() {
+            health.answered("a", false, 20);
+            for (int i = 0; i < 20; i++) {
+                health.cancelled("a", 200);
+            }
+            assertTrue(health.responseMillis("a", 40) > 150);
+        }
+
+        @Test
+        void neverLowersTheResponseTime() {
+            health.answered("a", false, 200);
+            health.cancelled("a", 20);
+            assertEquals(200, health.responseMillis("a", 40));
+        }
+
+        @Test
+        void isKnownOfAServerWithoutResponses() {
+            health.cancelled("a", 200);
+            assertEquals(200, health.responseMillis("a", 40));
+        }
+
+        @Test
+        void doesNotEndAnEjection() {
+            health.unreachable("a", 0);
+            health.cancelled("a", 200);
+            assertFalse(health.isUsable("a", 1));
+        }
+    }
 }
