Read whether and how much to hedge from the settings

Cause: Hedging must be off unless the settings ask for it. The settings file of a deployment is written by the platform and has no field for it.

The traffic thread counts arrivals for the hedge budget and takes new limits over on a reload.

No request is hedged yet.

Conclusion: The relays can ask the decision.

--- a/daemon/src/main/java/io/hornbeamscale/daemon/CdsTrainingRun.java
+++ b/daemon/src/main/java/io/hornbeamscale/daemon/CdsTrainingRun.java
@@ -1,6 +1,7 @@
 package io.hornbeamscale.daemon;
 
 import io.hornbeamscale.core.fleet.Endpoint;
+import io.hornbeamscale.core.hedge.HedgePolicy;
 import io.hornbeamscale.gateway.Gateway;
 import io.hornbeamscale.gateway.GatewaySettings;
 import io.hornbeamscale.platform.PlatformExchangeCodec;
@@ -45,7 +46,8 @@
                     1_000,
                     0.1,
                     1_000,
-                    1);
+                    1,
+                    HedgePolicy.OFF);
             Gateway gateway = new Gateway(
                     settings,
                     new PlatformExchangeCodec(),
--- a/daemon/src/main/java/io/hornbeamscale/daemon/GatewayCommand.java
+++ b/daemon/src/main/java/io/hornbeamscale/daemon/GatewayCommand.java
@@ -3,6 +3,7 @@
 import com.beust.jcommander.Parameter;
 import com.beust.jcommander.Parameters;
 import io.hornbeamscale.core.error.ServingException;
+import io.hornbeamscale.core.hedge.HedgePolicy;
 import io.hornbeamscale.gateway.Gateway;
 import io.hornbeamscale.gateway.GatewaySettings;
 import io.hornbeamscale.platform.PlatformExchangeCodec;
@@ -27,6 +28,14 @@
             description = "The port of the metrics; without it, the last internal port of the settings")
     private int metricsPort;
 
+    @Parameter(
+            names = "--hedge-percent",
+            description =
+                    "How many of 100 requests may be sent to a second server when the first one is slow, 0 for none;"
+                            + " it replaces the hedging of the settings",
+            validateValueWith = PercentValidator.class)
+    private Double hedgePercent;
+
     @Parameter(
             names = "--rehearse",
             description = "Start on the loopback address, send one request and end; the build records the classes used")
@@ -41,7 +50,7 @@
         String path = Optional.ofNullable(settingsFile)
                 .or(() -> Optional.ofNullable(System.getenv(PlatformSettings.PATH_VARIABLE)))
                 .orElse(PlatformSettings.DEFAULT_PATH);
-        GatewaySettings settings = PlatformSettings.read(Path.of(path)).withMetricsPort(metricsPort);
+        GatewaySettings settings = readSettings(path);
         Gateway gateway = new Gateway(
                 settings,
                 new PlatformExchangeCodec(),
@@ -53,9 +62,16 @@
         return GracefulShutdown.await("gateway", gateway::drain, gateway::isDrained, gateway);
     }
 
-    private static void reload(Gateway gateway, String path) {
+    private GatewaySettings readSettings(String path) {
+        GatewaySettings settings = PlatformSettings.read(Path.of(path)).withMetricsPort(metricsPort);
+        return hedgePercent == null
+                ? settings
+                : settings.withHedging(HedgePolicy.ofShare(hedgePercent / PercentValidator.MAX_PERCENT));
+    }
+
+    private void reload(Gateway gateway, String path) {
         try {
-            gateway.reload(PlatformSettings.read(Path.of(path)));
+            gateway.reload(readSettings(path));
         } catch (ServingException e) {
             LogManager.getLogger("process")
                     .error("Reloading the settings failed; the previous settings stay in force.", e);
--- a/gateway/src/main/java/io/hornbeamscale/gateway/Gateway.java
+++ b/gateway/src/main/java/io/hornbeamscale/gateway/Gateway.java
@@ -185,8 +185,7 @@
     public void reload(GatewaySettings changed) {
         Arguments.notNull(changed, "changed");
         stopController.setGrace(changed.graceMillis());
-        thread.execute(() -> traffic.repeats()
-                .setLimits(changed.repeatRatio(), changed.repeatWindowMillis(), changed.repeatSlack()));
+        thread.execute(() -> traffic.reload(changed));
         log.processEvent("reload", settings.node());
     }
 
--- a/gateway/src/main/java/io/hornbeamscale/gateway/GatewaySettings.java
+++ b/gateway/src/main/java/io/hornbeamscale/gateway/GatewaySettings.java
@@ -1,6 +1,7 @@
 package io.hornbeamscale.gateway;
 
 import io.hornbeamscale.core.fleet.Endpoint;
+import io.hornbeamscale.core.hedge.HedgePolicy;
 import java.util.Map;
 import java.util.Optional;
 
@@ -21,6 +22,7 @@
  * @param repeatRatio the repeated sends allowed per request
  * @param repeatWindowMillis the length of the window in which repeated sends are counted, in milliseconds
  * @param repeatSlack the repeated sends that all entries together may add in a window
+ * @param hedging whether and how much to hedge slow requests
  */
 public record GatewaySettings(
         String node,
@@ -36,7 +38,8 @@
         long graceMillis,
         double repeatRatio,
         long repeatWindowMillis,
-        double repeatSlack) {
+        double repeatSlack,
+        HedgePolicy hedging) {
     /** Copies the map. */
     public GatewaySettings {
         regions = Map.copyOf(regions);
@@ -66,6 +69,32 @@
                 graceMillis,
                 repeatRatio,
                 repeatWindowMillis,
-                repeatSlack);
+                repeatSlack,
+                hedging);
+    }
+
+    /**
+     * Returns a copy with another policy for hedging.
+     *
+     * @param policy the policy, not null
+     * @return the settings, never null
+     */
+    public GatewaySettings withHedging(HedgePolicy policy) {
+        return new GatewaySettings(
+                node,
+                ip,
+                zone,
+                regions,
+                callerAddress,
+                readinessAddress,
+                peerPort,
+                metricsPort,
+                storeAddress,
+                drainMillis,
+                graceMillis,
+                repeatRatio,
+                repeatWindowMillis,
+                repeatSlack,
+                policy);
     }
 }
--- a/gateway/src/main/java/io/hornbeamscale/gateway/Relay.java
+++ b/gateway/src/main/java/io/hornbeamscale/gateway/Relay.java
@@ -37,6 +37,7 @@
     final void begin(long nowMillis) {
         traffic.relayStarted(this);
         traffic.repeats().recordRequest(request.service().name(), nowMillis);
+        traffic.hedging().arrived(request.service().name(), request.customerName(), nowMillis);
         deadline = traffic.thread()
                 .executeAfter(
                         this::deadlinePassed, Math.max(0, request.remainingMillis(nowMillis)), TimeUnit.MILLISECONDS);
--- a/gateway/src/main/java/io/hornbeamscale/gateway/RelayRequest.java
+++ b/gateway/src/main/java/io/hornbeamscale/gateway/RelayRequest.java
@@ -49,6 +49,11 @@
         return head.requestId().orElse("-");
     }
 
+    /** Returns the name of the customer, empty if there is none. */
+    String customerName() {
+        return customer.map(Customer::name).orElse("");
+    }
+
     /** Returns whether an engine generates the response as a stream. */
     boolean isGeneration() {
         return route.kind() == RequestKind.STREAMING && service.engine().isPresent();
--- a/gateway/src/main/java/io/hornbeamscale/gateway/TrafficState.java
+++ b/gateway/src/main/java/io/hornbeamscale/gateway/TrafficState.java
@@ -4,6 +4,8 @@
 import io.hornbeamscale.core.fleet.Endpoint;
 import io.hornbeamscale.core.fleet.FleetServer;
 import io.hornbeamscale.core.fleet.FleetSnapshot;
+import io.hornbeamscale.core.hedge.HedgeBudget;
+import io.hornbeamscale.core.hedge.HedgeDecision;
 import io.hornbeamscale.core.limit.ServerRateLimits;
 import io.hornbeamscale.core.limit.WindowedRetryBudget;
 import io.hornbeamscale.core.placement.CopyLinkSchedule;
@@ -56,6 +58,7 @@
     private final GenerationPlacement generationPlacement;
     private final PlainPlacement plainPlacement;
     private final WindowedRetryBudget repeats;
+    private final HedgeDecision hedging;
     private final Set<Relay> running = new LinkedHashSet<>();
     private final PlacementQueue<StreamRelay> waitingStreams = new PlacementQueue<>();
     private final Map<String, Endpoint> knownAddresses = new HashMap<>();
@@ -89,6 +92,7 @@
         plainPlacement = new PlainPlacement(loads, health, limits, settings.zone(), settings.regions());
         repeats =
                 new WindowedRetryBudget(settings.repeatRatio(), settings.repeatWindowMillis(), settings.repeatSlack());
+        hedging = new HedgeDecision(new HedgeBudget(repeats, settings.hedging(), settings.repeatWindowMillis()));
     }
 
     XnioIoThread thread() {
@@ -164,6 +168,16 @@
         return repeats;
     }
 
+    HedgeDecision hedging() {
+        return hedging;
+    }
+
+    /** Replaces the limits of repeated sends and hedges. */
+    void reload(GatewaySettings changed) {
+        repeats.setLimits(changed.repeatRatio(), changed.repeatWindowMillis(), changed.repeatSlack());
+        hedging.setLimits(changed.hedging(), changed.repeatWindowMillis());
+    }
+
     FleetSnapshot fleet() {
         return blackboard.get(FleetSnapshot.KEY).orElse(FleetSnapshot.EMPTY);
     }
