Send a slow plain request to a second server

Cause: A plain request whose server is slow waited until 45 in 100 of its time limit had passed. The hedging decision was there, but nothing asked it.

Change: PlainHedge asks the decision for each plain request and sends it to a second server of HedgeCandidates: allowed by ServerEligibility without waiting, not cold, without a request limit. The first usable answer is delivered, the other send is cancelled and its time counted. A send that ends without a usable answer leaves the outcome to the other one, so that "not run" is concluded only if every server states it. PlainAttempt is split from PlainRelay. An attempt that becomes overdue is no longer repeated once the route allows no further server.

No load was run.

Conclusion: Slow plain requests are hedged where the settings ask for it. Streams are not: the document has no field `resumable`.

--- a/core/src/main/java/io/hornbeamscale/core/eligibility/ServerEligibility.java
+++ b/core/src/main/java/io/hornbeamscale/core/eligibility/ServerEligibility.java
@@ -267,7 +267,14 @@
         return coldRequestsPerSecond.applyAsDouble(server.registration().service());
     }
 
-    private boolean isCold(FleetServer server, long nowMillis) {
+    /**
+     * Returns whether a server is cold.
+     *
+     * @param server the server, not null
+     * @param nowMillis the present time
+     * @return whether its registration or one of its responses says so
+     */
+    public boolean isCold(FleetServer server, long nowMillis) {
         return server.isCold(nowMillis) || nowMillis < coldUntilMillis.getOrDefault(server.id(), Long.MIN_VALUE);
     }
 }
--- a/core/src/main/java/io/hornbeamscale/core/hedge/HedgePolicy.java
+++ b/core/src/main/java/io/hornbeamscale/core/hedge/HedgePolicy.java
@@ -11,6 +11,9 @@
  * @param quantile the share of the responses of a service that arrive before a request is hedged, from 0.5 to 0.99
  */
 public record HedgePolicy(double share, double serviceShare, double customerShare, double quantile) {
+    /** The default share over all services; a tenth of the retry budget of the users' platform. */
+    public static final double DEFAULT_SHARE = 0.02;
+
     /** The default quantile: 5 of 100 requests wait long enough, more than a usual share lets be hedged. */
     public static final double DEFAULT_QUANTILE = 0.95;
 
--- a/core/src/main/java/io/hornbeamscale/core/placement/PlainPlacement.java
+++ b/core/src/main/java/io/hornbeamscale/core/placement/PlainPlacement.java
@@ -83,7 +83,7 @@
                 continue;
             }
             long wait = verdict.isDeferred() ? verdict.waitMillis(nowMillis) : 0;
-            double cost = cost(server, nowMillis) + wait + random.nextDouble() * MAX_JITTER_MILLIS;
+            double cost = estimateMillis(server, nowMillis) + wait + random.nextDouble() * MAX_JITTER_MILLIS;
             if (isEjected) {
                 cost += EJECTED_COST_MILLIS;
             }
@@ -95,7 +95,14 @@
         return Optional.ofNullable(best);
     }
 
-    private double cost(FleetServer server, long nowMillis) {
+    /**
+     * Returns the expected response time of a server, with penalties for its failures and its distance.
+     *
+     * @param server the server, not null
+     * @param nowMillis the present time
+     * @return the estimate, in milliseconds
+     */
+    public double estimateMillis(FleetServer server, long nowMillis) {
         int slots = server.registration().slots();
         int requests = loads.of(server.id(), nowMillis).requests();
         double work = health.responseMillis(server.id(), DEFAULT_RESPONSE_MILLIS);
--- a/daemon/src/main/java/io/hornbeamscale/daemon/GatewayCommand.java
+++ b/daemon/src/main/java/io/hornbeamscale/daemon/GatewayCommand.java
@@ -62,7 +62,8 @@
         return GracefulShutdown.await("gateway", gateway::drain, gateway::isDrained, gateway);
     }
 
-    private GatewaySettings readSettings(String path) {
+    /** Reads the settings and applies the options, which take precedence. */
+    GatewaySettings readSettings(String path) {
         GatewaySettings settings = PlatformSettings.read(Path.of(path)).withMetricsPort(metricsPort);
         return hedgePercent == null
                 ? settings
--- a/gateway/src/main/java/io/hornbeamscale/gateway/DecisionLog.java
+++ b/gateway/src/main/java/io/hornbeamscale/gateway/DecisionLog.java
@@ -84,6 +84,22 @@
         }
     }
 
+    /**
+     * Logs that a request is sent to a second server while the first one still has it.
+     *
+     * @param waitedMillis how long the first server has not responded, in milliseconds
+     * @param expectedMillis the expected response time of the second server, in milliseconds
+     */
+    void hedged(RelayRequest request, FleetServer from, FleetServer to, long waitedMillis, double expectedMillis) {
+        if (isAllowed("hedged")) {
+            requests.info(line("hedged", request)
+                    .with("server", from.id())
+                    .with("target", to.id())
+                    .with("waitedMillis", waitedMillis)
+                    .with("expectedMillis", Math.round(expectedMillis)));
+        }
+    }
+
     /** Logs that the state of a stream is about to be copied. */
     void moveStarted(RelayRequest request, FleetServer from, FleetServer to) {
         if (isAllowed("move_started")) {
--- a/gateway/src/main/java/io/hornbeamscale/gateway/GatewayMetrics.java
+++ b/gateway/src/main/java/io/hornbeamscale/gateway/GatewayMetrics.java
@@ -42,6 +42,12 @@
         }
     }
 
+    /** Counts a send that was cancelled because its request was hedged, and the time that its server spent on it. */
+    void hedgeCancelled(long millis) {
+        registry.counter("hedges_cancelled").inc();
+        registry.counter("hedges_cancelled_millis").inc(millis);
+    }
+
     void count(String name) {
         registry.counter(name).inc();
     }
--- a/gateway/src/main/java/io/hornbeamscale/gateway/PlainRelay.java
+++ b/gateway/src/main/java/io/hornbeamscale/gateway/PlainRelay.java
@@ -3,55 +3,40 @@
 import io.hornbeamscale.core.eligibility.SendTerms;
 import io.hornbeamscale.core.error.BackendResponses;
 import io.hornbeamscale.core.error.ErrorKind;
-import io.hornbeamscale.core.error.RunOutcome;
 import io.hornbeamscale.core.fleet.FleetServer;
 import io.hornbeamscale.core.placement.PlainPlacement;
-import io.hornbeamscale.core.placement.ServerLoad;
-import io.hornbeamscale.core.route.Customer;
 import io.undertow.server.HttpServerExchange;
-import io.undertow.util.HeaderMap;
-import java.nio.ByteBuffer;
+import java.util.ArrayList;
 import java.util.HashSet;
 import java.util.List;
 import java.util.Optional;
 import java.util.Set;
 import java.util.concurrent.TimeUnit;
-import org.xnio.XnioExecutor;
 
 /** Relays a request that is not streamed. The response is read in full before it is sent to the caller. */
 final class PlainRelay extends Relay {
-    private static final ServerLoad LOAD = new ServerLoad(1, 0, 0);
-    private static final int STATUS_SERVER_ERROR = 500;
-    private static final int STATUS_MISDIRECTED = 421;
-
     /** The greatest number of times that a request is sent, including refused sends. */
     private static final int MAX_SENDS = 3;
 
-    /** The maximum size of a response, in bytes. It is read in full before the caller receives it. */
-    private static final int MAX_RESPONSE_BYTES = 640 * 1024;
-
-    /**
-     * The share of the remaining time that an attempt of a repeatable request may take while another attempt is
-     * allowed.
-     */
-    private static final double ATTEMPT_TIME_SHARE = 0.45;
-
     /** The share of the remaining time that a request may wait until a server may get it; the rest is needed to run. */
     private static final double MAX_WAIT_SHARE = 0.4;
 
-    private static final long CONNECT_TIMEOUT_MILLIS = 400;
     private static final long RETRY_AFTER_MILLIS = 300;
 
     private final Set<String> tried = new HashSet<>();
+
+    /** The attempts that wait for a response: one, or two while the request is hedged. */
+    private final List<PlainAttempt> inFlight = new ArrayList<>();
+
+    private final PlainHedge hedge;
     private int sends;
 
     /** The number of sends that a server may have run. */
     private int runs;
 
-    private Attempt attempt;
-
     PlainRelay(TrafficState traffic, HttpServerExchange exchange, RelayRequest request) {
         super(traffic, exchange, request);
+        hedge = new PlainHedge(this);
     }
 
     @Override
@@ -61,8 +46,13 @@
 
     @Override
     void cancelAttempts() {
-        if (attempt != null) {
-            attempt.cancel();
+        hedge.stop();
+        boolean isHedged = inFlight.size() > 1;
+        for (PlainAttempt each : List.copyOf(inFlight)) {
+            each.cancel();
+            if (isHedged && each.isHedge()) {
+                hedge.cancelled(each, ControlLoop.now());
+            }
         }
     }
 
@@ -158,217 +148,173 @@
         }
     }
 
-    private SendTerms terms() {
+    /** Returns the terms of the next send. */
+    SendTerms terms() {
         return request().terms().excluding(tried);
     }
 
-    private List<FleetServer> servers() {
+    /** Returns the servers that take requests of the service. */
+    List<FleetServer> servers() {
         return traffic().fleet().ready(request().service().name());
     }
 
-    private void begin(FleetServer server, long nowMillis) {
-        attempt = new Attempt(server, nowMillis);
-        attempt.begin(nowMillis);
+    /** Returns the ids of the servers that the request was sent to. */
+    Set<String> tried() {
+        return Set.copyOf(tried);
     }
 
-    private boolean isRepeatable() {
-        return request().route().kind().isRepeatable();
+    /** Returns the greatest number of servers that the request is sent to. */
+    int maxServers() {
+        return Math.min(MAX_SENDS, request().route().maxServers());
     }
 
-    private boolean mayRunAgain() {
-        return isRepeatable() && runs < request().route().maxServers();
+    private void begin(FleetServer server, long nowMillis) {
+        hedge.plan(beginAttempt(server, false, nowMillis), nowMillis);
     }
 
-    private boolean tryRepeat(long nowMillis) {
-        return sends < MAX_SENDS
-                && request().remainingMillis(nowMillis) > RESPONSE_MARGIN_MILLIS
-                && traffic().repeats().tryRetry(request().service().name(), nowMillis);
+    /** Sends the request to a second server while the first one still has it. */
+    void beginHedge(FleetServer server, long nowMillis) {
+        beginAttempt(server, true, nowMillis);
     }
 
-    private boolean hasOtherServer(long nowMillis) {
-        return traffic()
-                .plainPlacement()
-                .choose(servers(), terms(), nowMillis, traffic().random())
-                .filter(choice -> isWaitAcceptable(choice.waitMillis(), nowMillis))
-                .isPresent();
+    private PlainAttempt beginAttempt(FleetServer server, boolean isHedge, long nowMillis) {
+        PlainAttempt attempt = new PlainAttempt(this, server, isHedge, nowMillis);
+        tried.add(server.id());
+        sends++;
+        runs++;
+        inFlight.add(attempt);
+        attempt.begin(sends, mayRunAgain(), nowMillis);
+        return attempt;
     }
 
-    private boolean isWaitAcceptable(long waitMillis, long nowMillis) {
-        return waitMillis <= MAX_WAIT_SHARE * request().remainingMillis(nowMillis);
+    /** Handles the end of an attempt, however it ends. */
+    void attemptEnded(PlainAttempt attempt) {
+        inFlight.remove(attempt);
+        if (!attempt.isHedge()) {
+            hedge.stop();
+        }
     }
 
-    /** One attempt at one server. */
-    private final class Attempt implements BackendExchange.Listener {
-        private final FleetServer server;
-        private final long sentAtMillis;
-        private final ResponseBody body = new ResponseBody(MAX_RESPONSE_BYTES);
-        private BackendExchange exchange;
-        private XnioExecutor.Key timer;
-        private int status;
-        private HeaderMap headers;
-        private BackendResponseHead head;
-        private boolean isEnded;
-
-        Attempt(FleetServer server, long nowMillis) {
-            this.server = server;
-            this.sentAtMillis = nowMillis;
+    /** Handles a complete response of a server that ran the request. */
+    void completed(PlainAttempt from, boolean isFailure, boolean isUnsigned, long nowMillis) {
+        boolean isUsable = !isFailure && !isUnsigned && !BackendResponses.isNotRunStatus(from.status());
+        if (!isUsable && awaitsOther(from, "status " + from.status(), nowMillis)) {
+            return;
         }
-
-        void begin(long nowMillis) {
-            tried.add(server.id());
-            sends++;
-            runs++;
-            traffic().placed(server.id(), LOAD);
-            traffic().health().sent(server.id(), nowMillis);
-            long remaining = request().remainingMillis(nowMillis) - RESPONSE_MARGIN_MILLIS;
-            if (mayRunAgain()) {
-                timer = traffic()
-                        .thread()
-                        .executeAfter(
-                                this::attemptTimedOut,
-                                Math.max(1, (long) (remaining * ATTEMPT_TIME_SHARE)),
-                                TimeUnit.MILLISECONDS);
+        if ((isFailure || isUnsigned) && mayRunAgain() && hasOtherServer(nowMillis) && tryRepeat(nowMillis)) {
+            traffic().log().repeated(request(), from.server(), "status " + from.status());
+            send(nowMillis);
+        } else if (isUnsigned) {
+            fail(ErrorKind.BACKEND_FAILED, -1, "the response is not signed");
+        } else {
+            if (isUsable) {
+                hedge.answered(from, nowMillis);
             }
-            BackendRequestFields fields = new BackendRequestFields(
-                    server.id(),
-                    request().customer().map(Customer::name),
-                    Math.max(1, remaining),
-                    Optional.empty(),
-                    Optional.empty(),
-                    Optional.empty());
-            BackendClient.Request call = new BackendClient.Request(
-                    request().method(),
-                    request().target(),
-                    traffic().codec().encodeBackendRequest(request().headers(), fields),
-                    request().body().duplicate(),
-                    request().hasLength(),
-                    request().head().requestId(),
-                    BackendClient.Reuse.of(request().head().requestId(), isRepeatable()),
-                    CONNECT_TIMEOUT_MILLIS);
-            traffic()
-                    .log()
-                    .sent(request(), server, sends, remaining, traffic().loads().of(server.id(), nowMillis));
-            exchange = traffic().client().send(server.registration().address(), call, this, nowMillis);
-        }
-
-        void cancel() {
-            if (end() && exchange != null) {
-                exchange.cancel();
+            for (PlainAttempt other : List.copyOf(inFlight)) {
+                other.cancel();
+                hedge.cancelled(other, nowMillis);
             }
+            traffic().crashDetector().completed(request(), nowMillis);
+            forwardResponse(
+                    from.status(),
+                    from.headers(),
+                    from.body(),
+                    "server " + from.server().id());
         }
+    }
 
-        @Override
-        public void responded(int code, HeaderMap found) {
-            status = code;
-            headers = found;
-            head = traffic().codec().decodeBackendResponse(code, found);
-            exchange.setServerIdleTimeout(head.idleTimeoutMillis());
-            traffic().responded(server, code, head, sentAtMillis, ControlLoop.now());
-            mismatch(code, head).ifPresent(why -> {
-                exchange.cancel();
-                failed(BackendExchange.Failure.BROKEN, why);
-            });
+    /** Handles a refusal: the server has not run the request. */
+    void refused(PlainAttempt from, long nowMillis) {
+        runs--;
+        String why = "the server refused with status " + from.status();
+        if (awaitsOther(from, why, nowMillis)) {
+            return;
         }
-
-        @Override
-        public void received(ByteBuffer bytes) {
-            if (!body.add(bytes)) {
-                exchange.cancel();
-                failed(BackendExchange.Failure.BROKEN, "the response exceeds " + MAX_RESPONSE_BYTES + " bytes");
-            }
+        if (hasOtherServer(nowMillis) && tryRepeat(nowMillis)) {
+            traffic().log().repeated(request(), from.server(), why);
+            send(nowMillis);
+        } else if (runs > 0) {
+            fail(ErrorKind.OUTCOME_UNKNOWN, -1, "a repeat was refused");
+        } else {
+            fail(ErrorKind.OVERLOADED, RETRY_AFTER_MILLIS, "refused with status " + from.status());
         }
+    }
 
-        @Override
-        public void completed() {
-            if (!end()) {
-                return;
-            }
-            long now = ControlLoop.now();
-            if (BackendResponses.outcome(status, head.statesNotRun()) == RunOutcome.NOT_RUN) {
-                runs--;
-                traffic().health().answered(server.id(), status == STATUS_MISDIRECTED, now - sentAtMillis);
-                refused(now);
-                return;
-            }
-            boolean isFailure = status >= STATUS_SERVER_ERROR;
-            boolean isUnsigned = !isFailure && !head.hasSignature();
-            traffic().health().answered(server.id(), isFailure || isUnsigned, now - sentAtMillis);
-            if ((isFailure || isUnsigned) && mayRunAgain() && hasOtherServer(now) && tryRepeat(now)) {
-                traffic().log().repeated(request(), server, "status " + status);
-                send(now);
-            } else if (isUnsigned) {
-                fail(ErrorKind.BACKEND_FAILED, -1, "the response is not signed");
-            } else {
-                traffic().crashDetector().completed(request(), now);
-                forwardResponse(status, headers, body.toByteArray(), "server " + server.id());
-            }
+    /** Handles a failed connect: the server has not received the request. */
+    void notSent(PlainAttempt from, String reason, long nowMillis) {
+        runs--;
+        if (awaitsOther(from, reason, nowMillis)) {
+            return;
         }
-
-        @Override
-        public void failed(BackendExchange.Failure failure, String reason) {
-            if (!end()) {
-                return;
-            }
-            long now = ControlLoop.now();
-            if (failure == BackendExchange.Failure.NOT_SENT) {
-                runs--;
-                traffic().health().unreachable(server.id(), now);
-                traffic().log().repeated(request(), server, reason);
-                if (sends < MAX_SENDS) {
-                    send(now);
-                } else {
-                    fail(ErrorKind.NO_BACKEND, RETRY_AFTER_MILLIS, reason);
-                }
-                return;
-            }
-            traffic().health().failed(server.id(), now);
-            ResponseProgress progress = headers == null ? ResponseProgress.WAITING : ResponseProgress.BEGUN;
-            traffic().crashDetector().connectionBroke(server, request(), progress, now);
-            broken(now, reason);
+        traffic().log().repeated(request(), from.server(), reason);
+        if (sends < MAX_SENDS) {
+            send(nowMillis);
+        } else {
+            fail(ErrorKind.NO_BACKEND, RETRY_AFTER_MILLIS, reason);
         }
+    }
 
-        private void attemptTimedOut() {
-            long now = ControlLoop.now();
-            if (isEnded || headers != null || !hasOtherServer(now) || !tryRepeat(now)) {
-                return;
-            }
-            end();
-            exchange.cancel();
-            traffic().health().failed(server.id(), now);
-            traffic().log().repeated(request(), server, "no response yet");
-            send(now);
+    /** Handles a broken connection or an invalid response: the server may have run the request. */
+    void broke(PlainAttempt from, String reason, long nowMillis) {
+        if (awaitsOther(from, reason, nowMillis)) {
+            return;
         }
-
-        private void refused(long now) {
-            if (hasOtherServer(now) && tryRepeat(now)) {
-                traffic().log().repeated(request(), server, "the server refused with status " + status);
-                send(now);
-            } else if (runs > 0) {
-                fail(ErrorKind.OUTCOME_UNKNOWN, -1, "a repeat was refused");
-            } else {
-                fail(ErrorKind.OVERLOADED, RETRY_AFTER_MILLIS, "refused with status " + status);
-            }
+        if (mayRunAgain() && hasOtherServer(nowMillis) && tryRepeat(nowMillis)) {
+            traffic().log().repeated(request(), from.server(), reason);
+            send(nowMillis);
+        } else {
+            fail(ErrorKind.OUTCOME_UNKNOWN, -1, reason);
         }
+    }
 
-        private void broken(long now, String reason) {
-            if (mayRunAgain() && hasOtherServer(now) && tryRepeat(now)) {
-                traffic().log().repeated(request(), server, reason);
-                send(now);
-            } else {
-                fail(ErrorKind.OUTCOME_UNKNOWN, -1, reason);
-            }
+    /** Sends the request again in place of an overdue attempt, unless another attempt is in flight. */
+    void timedOut(PlainAttempt from, long nowMillis) {
+        if (inFlight.size() > 1 || !mayRunAgain() || !hasOtherServer(nowMillis) || !tryRepeat(nowMillis)) {
+            return;
         }
+        from.cancel();
+        hedge.gaveUp(from, nowMillis);
+        traffic().health().failed(from.server().id(), nowMillis);
+        traffic().log().repeated(request(), from.server(), "no response yet");
+        send(nowMillis);
+    }
 
-        private boolean end() {
-            if (isEnded) {
-                return false;
-            }
-            isEnded = true;
-            if (timer != null) {
-                timer.remove();
-            }
-            traffic().loads().remove(server.id(), LOAD);
-            return true;
+    /** Returns whether another attempt may still be answered, so that the end of this one does not end the request. */
+    private boolean awaitsOther(PlainAttempt ended, String why, long nowMillis) {
+        if (inFlight.isEmpty()) {
+            return false;
         }
+        traffic().log().repeated(request(), ended.server(), why);
+        PlainAttempt other = inFlight.get(0);
+        if (other.isOverdue()) {
+            timedOut(other, nowMillis);
+        }
+        return true;
+    }
+
+    private boolean isRepeatable() {
+        return request().route().kind().isRepeatable();
+    }
+
+    private boolean mayRunAgain() {
+        return isRepeatable() && runs < request().route().maxServers();
+    }
+
+    private boolean tryRepeat(long nowMillis) {
+        return sends < MAX_SENDS
+                && request().remainingMillis(nowMillis) > RESPONSE_MARGIN_MILLIS
+                && traffic().repeats().tryRetry(request().service().name(), nowMillis);
+    }
+
+    private boolean hasOtherServer(long nowMillis) {
+        return traffic()
+                .plainPlacement()
+                .choose(servers(), terms(), nowMillis, traffic().random())
+                .filter(choice -> isWaitAcceptable(choice.waitMillis(), nowMillis))
+                .isPresent();
+    }
+
+    private boolean isWaitAcceptable(long waitMillis, long nowMillis) {
+        return waitMillis <= MAX_WAIT_SHARE * request().remainingMillis(nowMillis);
     }
 }
--- a/gateway/src/main/java/io/hornbeamscale/gateway/TrafficState.java
+++ b/gateway/src/main/java/io/hornbeamscale/gateway/TrafficState.java
@@ -6,6 +6,7 @@
 import io.hornbeamscale.core.fleet.FleetServer;
 import io.hornbeamscale.core.fleet.FleetSnapshot;
 import io.hornbeamscale.core.hedge.HedgeBudget;
+import io.hornbeamscale.core.hedge.HedgeCandidates;
 import io.hornbeamscale.core.hedge.HedgeDecision;
 import io.hornbeamscale.core.limit.ServerRateLimits;
 import io.hornbeamscale.core.limit.WindowedRetryBudget;
@@ -64,6 +65,7 @@
     private final PlainPlacement plainPlacement;
     private final WindowedRetryBudget repeats;
     private final HedgeDecision hedging;
+    private final HedgeCandidates hedgeCandidates;
     private final Set<Relay> running = new LinkedHashSet<>();
     private final PlacementQueue<StreamRelay> waitingStreams = new PlacementQueue<>();
     private final Map<String, Endpoint> knownAddresses = new HashMap<>();
@@ -102,6 +104,7 @@
         repeats =
                 new WindowedRetryBudget(settings.repeatRatio(), settings.repeatWindowMillis(), settings.repeatSlack());
         hedging = new HedgeDecision(new HedgeBudget(repeats, settings.hedging(), settings.repeatWindowMillis()));
+        hedgeCandidates = new HedgeCandidates(eligibility, limits, plainPlacement, loads);
     }
 
     XnioIoThread thread() {
@@ -217,6 +220,10 @@
         return hedging;
     }
 
+    HedgeCandidates hedgeCandidates() {
+        return hedgeCandidates;
+    }
+
     /** Replaces the limits of repeated sends and hedges. */
     void reload(GatewaySettings changed) {
         repeats.setLimits(changed.repeatRatio(), changed.repeatWindowMillis(), changed.repeatSlack());
