--- a/gateway/src/main/java/io/hornbeamscale/gateway/GatewayMetrics.java
+++ b/gateway/src/main/java/io/hornbeamscale/gateway/GatewayMetrics.java
@@ -54,6 +54,12 @@
         count("admission_" + event.name().toLowerCase(Locale.ROOT));
     }
 
+    /** Counts a send that was cancelled because its request was hedged, and the time that its server spent on it. */
+    void hedgeCancelled(long millis) {
+        registry.counter("hedges_cancelled").inc();
+        registry.counter("hedges_cancelled_millis").inc(millis);
+    }
+
     void count(String name) {
         registry.counter(name).inc();
     }
--- a/gateway/src/main/java/io/hornbeamscale/gateway/TrafficState.java
+++ b/gateway/src/main/java/io/hornbeamscale/gateway/TrafficState.java
@@ -8,6 +8,9 @@
 import io.hornbeamscale.core.fleet.Endpoint;
 import io.hornbeamscale.core.fleet.FleetServer;
 import io.hornbeamscale.core.fleet.FleetSnapshot;
+import io.hornbeamscale.core.hedge.HedgeBudget;
+import io.hornbeamscale.core.hedge.HedgeCandidates;
+import io.hornbeamscale.core.hedge.HedgeDecision;
 import io.hornbeamscale.core.limit.ServerRateLimits;
 import io.hornbeamscale.core.limit.WindowedRetryBudget;
 import io.hornbeamscale.core.placement.CopyLinkSchedule;
@@ -73,6 +76,8 @@
     private final GenerationPlacement generationPlacement;
     private final PlainPlacement plainPlacement;
     private final WindowedRetryBudget repeats;
+    private final HedgeDecision hedging;
+    private final HedgeCandidates hedgeCandidates;
     private final Set<Relay> running = new LinkedHashSet<>();
     private final AdmissionQueue<StreamRelay> waitingStreams;
     private final RepeatDetector repeatDetector = new RepeatDetector();
@@ -115,6 +120,8 @@
         plainPlacement = new PlainPlacement(loads, health, eligibility, settings.zone(), settings.regions());
         repeats =
                 new WindowedRetryBudget(settings.repeatRatio(), settings.repeatWindowMillis(), settings.repeatSlack());
+        hedging = new HedgeDecision(new HedgeBudget(repeats, settings.hedging(), settings.repeatWindowMillis()));
+        hedgeCandidates = new HedgeCandidates(eligibility, limits, plainPlacement, loads);
     }
 
     XnioIoThread thread() {
@@ -227,6 +234,20 @@
         return repeats;
     }
 
+    HedgeDecision hedging() {
+        return hedging;
+    }
+
+    HedgeCandidates hedgeCandidates() {
+        return hedgeCandidates;
+    }
+
+    /** Replaces the limits of repeated sends and hedges. */
+    void reload(GatewaySettings changed) {
+        repeats.setLimits(changed.repeatRatio(), changed.repeatWindowMillis(), changed.repeatSlack());
+        hedging.setLimits(changed.hedging(), changed.repeatWindowMillis());
+    }
+
     FleetSnapshot fleet() {
         return blackboard.get(FleetSnapshot.KEY).orElse(FleetSnapshot.EMPTY);
     }
