--- a/gateway/src/main/java/io/hornbeamscale/gateway/TrafficState.java
+++ b/gateway/src/main/java/io/hornbeamscale/gateway/TrafficState.java
@@ -40,10 +40,11 @@
     private static final long STATUS_DELAY_MILLIS = 10;
 
     /**
-     * How long the placement of waiting streams is delayed after a report of another entry, in milliseconds. Each of
-     * up to 24 entries reports every {@link #STATUS_DELAY_MILLIS} at the most; one attempt serves several reports.
+     * How long the placement of waiting streams is delayed after a report of another entry or the end of a plain
+     * request, in milliseconds. Each of up to 24 entries reports every {@link #STATUS_DELAY_MILLIS} at the most; one
+     * attempt serves several reports.
      */
-    private static final long PEER_PLACEMENT_DELAY_MILLIS = 5;
+    private static final long PLACEMENT_DELAY_MILLIS = 5;
 
     private static final int STATUS_REDIRECT = 300;
 
@@ -191,8 +192,11 @@
         running.remove(relay);
         if (relay instanceof StreamRelay stream) {
             waitingStreams.ended(stream, ControlLoop.now());
+            placeWaitingSoon(0);
+        } else {
+            // Plain requests end often and seldom make room at an engine.
+            placeWaitingSoon(PLACEMENT_DELAY_MILLIS);
         }
-        placeWaitingSoon(0);
     }
 
     /** Returns the number of requests without a complete response. */
@@ -259,7 +263,7 @@
     /** Handles the load that another entry has placed. Waiting streams are tried if it has become less somewhere. */
     void peerReported(String peer, Map<String, ServerLoad> reported, long nowMillis) {
         if (loads.peerReported(peer, reported, nowMillis)) {
-            placeWaitingSoon(PEER_PLACEMENT_DELAY_MILLIS);
+            placeWaitingSoon(PLACEMENT_DELAY_MILLIS);
         }
     }
 
