--- a/core/src/test/java/io/hornbeamscale/core/admission/AdmissionUnderLoadTest.java
+++ b/core/src/test/java/io/hornbeamscale/core/admission/AdmissionUnderLoadTest.java
@@ -6,7 +6,6 @@
 import java.util.ArrayList;
 import java.util.LinkedHashSet;
 import java.util.List;
-import java.util.Optional;
 import java.util.PriorityQueue;
 import java.util.Random;
 import java.util.Set;
@@ -29,6 +28,9 @@
 
     private static final int CUSTOMERS = 8;
 
+    /** The time after which a caller repeats that ignores the time to return. */
+    private static final long REPEAT_MILLIS = 50;
+
     @Nested
     class Crest {
         @ParameterizedTest
@@ -75,6 +77,25 @@
         }
     }
 
+    @Nested
+    class Repeats {
+        /** Some customers send a refused request again at once until its deadline; the others get what they got. */
+        @ParameterizedTest
+        @ValueSource(longs = {1, 2, 3, 4, 5})
+        void doNotDisplaceFirstAttempts(long seed) {
+            Play usual = new Play(seed, 1, true);
+            Play repeated = new Play(seed, 1, true);
+            repeated.repeaters = Set.of("customer1", "customer2", "customer3");
+            usual.run();
+            repeated.run();
+            Predicate<Call> isOther = c -> !repeated.repeaters.contains(c.request.customer());
+            long before = usual.timely(isOther);
+            long after = repeated.timely(isOther);
+            assertTrue(repeated.calls.size() > 2 * usual.calls.size());
+            assertTrue(after >= 0.9 * before, after + " timely responses, " + before + " without the repeats");
+        }
+    }
+
     @Nested
     class LostStatus {
         /**
@@ -139,6 +160,7 @@
         private long lostFromMillis;
         private long lostUntilMillis;
         private int sentBack;
+        private Set<String> repeaters = Set.of();
         private long now;
 
         Play(long seed, double greed, boolean isByAdmission) {
@@ -191,27 +213,24 @@
         }
 
         private void send(String route, int customer, long count, long prompt, long expected) {
+            int priority = route.equals("short") ? 0 : 1;
             for (long i = 0; i < count; i++) {
-                arrive(route, "customer" + customer, prompt, expected, now + 12_000, false);
+                AdmissionRequest request = new AdmissionRequest(
+                        "engines",
+                        route,
+                        "customer" + customer,
+                        priority,
+                        prompt,
+                        expected,
+                        now,
+                        OBJECTIVE_MILLIS,
+                        now + 12_000,
+                        false);
+                arrive(new Call(request, false));
             }
         }
 
-        private void arrive(
-                String route, String customer, long prompt, long expected, long deadline, boolean isSecond) {
-            int priority = route.equals("short") ? 0 : 1;
-            Call call = new Call(
-                    new AdmissionRequest(
-                            "engines",
-                            route,
-                            customer,
-                            priority,
-                            prompt,
-                            expected,
-                            now,
-                            OBJECTIVE_MILLIS,
-                            deadline,
-                            false),
-                    isSecond);
+        private void arrive(Call call) {
             calls.add(call);
             if (!isByAdmission) {
                 byArrival.add(call);
@@ -227,8 +246,8 @@
                 queue.ended(ended, now);
             }
             while (!returning.isEmpty() && returning.peek().request.arrivedAtMillis() <= now) {
-                AdmissionRequest r = returning.poll().request;
-                arrive(r.route(), r.customer(), r.promptTokens(), r.expectedTokens(), r.deadlineMillis(), true);
+                Call due = returning.poll();
+                arrive(new Call(request(due.request, now, due.request.isRepeat()), true));
             }
             queue.place(this::tryPlace, now);
             queue.refusals(spread, now).forEach(r -> refuse(r.item(), r.retryAfterMillis()));
@@ -260,25 +279,30 @@
             return hasRoom;
         }
 
-        /** A caller follows a time to return up to a third of its remaining time, and returns once. */
+        /** A caller follows a time to return up to a third of its remaining time, and returns once, or repeats. */
         private void refuse(Call call, long retryAfterMillis) {
             call.isRefused = true;
             AdmissionRequest r = call.request;
-            Optional.of(now + retryAfterMillis)
-                    .filter(at -> !call.isSecond && 3 * (at - now) <= r.deadlineMillis() - now)
-                    .ifPresent(at -> returning.add(new Call(
-                            new AdmissionRequest(
-                                    r.service(),
-                                    r.route(),
-                                    r.customer(),
-                                    r.priority(),
-                                    r.promptTokens(),
-                                    r.expectedTokens(),
-                                    at,
-                                    r.objectiveMillis(),
-                                    r.deadlineMillis(),
-                                    false),
-                            true)));
+            boolean isRepeat = repeaters.contains(r.customer());
+            long at = now + (isRepeat ? REPEAT_MILLIS : retryAfterMillis);
+            boolean isFollowed = !call.isSecond && 3 * (at - now) <= r.deadlineMillis() - now;
+            if (isRepeat ? at < r.deadlineMillis() : isFollowed) {
+                returning.add(new Call(request(r, at, isRepeat), true));
+            }
+        }
+
+        private static AdmissionRequest request(AdmissionRequest r, long arrivedAtMillis, boolean isRepeat) {
+            return new AdmissionRequest(
+                    r.service(),
+                    r.route(),
+                    r.customer(),
+                    r.priority(),
+                    r.promptTokens(),
+                    r.expectedTokens(),
+                    arrivedAtMillis,
+                    r.objectiveMillis(),
+                    r.deadlineMillis(),
+                    isRepeat);
         }
     }
 }
