--- a/gateway/src/main/java/io/hornbeamscale/gateway/RelayRequest.java
+++ b/gateway/src/main/java/io/hornbeamscale/gateway/RelayRequest.java
@@ -138,11 +138,6 @@
                 customerName(), route.name(), Objects.hash(method, target, body.remaining(), end));
     }
 
-    /** Returns the name of the customer, empty on public routes. */
-    String customerName() {
-        return customer.map(Customer::name).orElse("");
-    }
-
     /** Returns the greatest length of the response, in tokens, or the expected length if the caller sets no limit. */
     long maxTokens() {
         return head.maxOutputTokens() > 0 ? head.maxOutputTokens() : size().expectedTokens();
