Test the eligibility decision

Cause: the decision which server may get a request had tests only through the placements, with neither regions, evacuations, pauses, announcements nor cold servers.

--- a/core/src/test/java/io/hornbeamscale/core/fleet/FleetControllerTest.java
+++ b/core/src/test/java/io/hornbeamscale/core/fleet/FleetControllerTest.java
@@ -178,4 +178,80 @@
             assertEquals(0, ready());
         }
     }
+
+    @Nested
+    class Evacuation {
+        @Test
+        void isPublishedUntilItEnds() {
+            fleet.zoneEvacuated("z", true);
+            assertEquals(Set.of("z"), fleet.snapshot().evacuatedZones());
+            fleet.zoneEvacuated("z", false);
+            assertEquals(Set.of(), fleet.snapshot().evacuatedZones());
+        }
+
+        @Test
+        void thatIsKnownChangesNothing() {
+            fleet.zoneEvacuated("z", true);
+            FleetSnapshot before = fleet.snapshot();
+            fleet.zoneEvacuated("z", true);
+            fleet.zoneEvacuated("other", false);
+            assertSame(before, fleet.snapshot());
+        }
+
+        /** The last known evacuations stay in force at an entry that is disconnected from the store. */
+        @Test
+        void survivesTheLossOfTheStore() {
+            fleet.zoneEvacuated("z", true);
+            fleet.storeLost();
+            fleet.tick(1_000_000);
+            assertEquals(Set.of("z"), fleet.snapshot().evacuatedZones());
+        }
+    }
+
+    @Nested
+    class ColdTime {
+        private static final long REMAINING = 700;
+
+        private ServerRegistration cold(long sequence) {
+            return new ServerRegistration(
+                    "a", START, sequence, "tales", new Endpoint("10.0.0.1", 80), "z", 4, false, REMAINING);
+        }
+
+        private long until() {
+            return fleet.snapshot().server("a").orElseThrow().coldUntilMillis();
+        }
+
+        @Test
+        void countsFromTheArrivalOfTheRegistration() {
+            fleet.registered(cold(1), 1, 5_000);
+            assertEquals(5_000 + REMAINING, until());
+            assertTrue(fleet.snapshot().server("a").orElseThrow().isCold(5_000 + REMAINING - 1));
+            assertEquals(false, fleet.snapshot().server("a").orElseThrow().isCold(5_000 + REMAINING));
+        }
+
+        @Test
+        void isNotExtendedByARegistrationThatIsRepeatedOrOlder() {
+            fleet.registered(cold(5), 5, 5_000);
+            fleet.registered(cold(5), 5, 5_500);
+            fleet.registered(cold(4), 6, 5_600);
+            assertEquals(5_000 + REMAINING, until());
+        }
+
+        /** An evacuated zone may be cold when it returns. */
+        @Test
+        void isSetAnewByALaterRegistration() {
+            fleet.registered(cold(1), 1, 5_000);
+            fleet.registered(cold(2), 2, 90_000);
+            assertEquals(90_000 + REMAINING, until());
+        }
+
+        @Test
+        void survivesAnAnnouncementAndARemoval() {
+            fleet.registered(cold(1), 1, 5_000);
+            fleet.leaveAnnounced("a", START, 5_100);
+            assertEquals(5_000 + REMAINING, until());
+            fleet.removed("a", 2, 5_200);
+            assertEquals(5_000 + REMAINING, until());
+        }
+    }
 }
