Keep the place of a request that waits for the end of a pause

Cause: a reservation at a paused server did not take a place in the interval after the pause: all requests that waited got the same time and were sent together. One made less than an interval before the end was forbidden by itself when it was due, chose again and reserved again until the interval rule ended. Change: each reservation moves the next place by an interval. A request with a reservation has to wait for the end of the pause only; a longer pause, an announcement or an evacuation still forbids it.

--- a/core/src/main/java/io/hornbeamscale/core/eligibility/ServerEligibility.java
+++ b/core/src/main/java/io/hornbeamscale/core/eligibility/ServerEligibility.java
@@ -100,7 +100,7 @@
      */
     public void reserve(FleetServer server, long nowMillis) {
         limits.take(server.id(), nowMillis);
-        pauses.sent(server.id(), nowMillis);
+        pauses.reserve(server.id(), nowMillis);
         double rate = coldRate(server);
         if (rate > 0 && isCold(server, nowMillis)) {
             coldRates.take(server.id(), rate, nowMillis);
@@ -231,9 +231,10 @@
         if (isLeaving(server)) {
             return Verdict.forbidden(IneligibleReason.LEAVING, Verdict.UNKNOWN);
         }
-        Verdict latest =
-                later(Verdict.ALLOWED, IneligibleReason.PAUSED, pauses.nextMillis(server.id(), nowMillis), nowMillis);
-        boolean isBoundByRates = terms.isCounted() && !terms.isReservedAt(server.id());
+        boolean isReserved = terms.isReservedAt(server.id());
+        long pause = pauses.nextMillis(server.id(), isReserved, nowMillis);
+        Verdict latest = later(Verdict.ALLOWED, IneligibleReason.PAUSED, pause, nowMillis);
+        boolean isBoundByRates = terms.isCounted() && !isReserved;
         if (isBoundByRates) {
             long limit = nowMillis + limits.waitMillis(server.id(), nowMillis);
             latest = later(latest, IneligibleReason.RATE_LIMITED, limit, nowMillis);
--- a/core/src/main/java/io/hornbeamscale/core/eligibility/ServerPauses.java
+++ b/core/src/main/java/io/hornbeamscale/core/eligibility/ServerPauses.java
@@ -41,8 +41,11 @@
         return true;
     }
 
-    /** Returns when the next request may be sent, 0 if the server has no pause. */
-    long nextMillis(String server, long nowMillis) {
+    /**
+     * Returns when the next request may be sent, 0 if the server has no pause. A request with a reservation has to wait
+     * for the end of the pause only, since its place in the interval was taken before.
+     */
+    long nextMillis(String server, boolean isReserved, long nowMillis) {
         Pause pause = pauses.get(server);
         if (pause == null) {
             return 0;
@@ -51,12 +54,13 @@
             pauses.remove(server);
             return 0;
         }
-        return pause.nextMillis;
+        return isReserved ? pause.untilMillis : pause.nextMillis;
     }
 
-    void sent(String server, long nowMillis) {
+    /** Takes the place of one request, which is sent now or waits for the end of the pause. */
+    void reserve(String server, long nowMillis) {
         pauses.computeIfPresent(
-                server, (id, p) -> new Pause(p.untilMillis, Math.max(p.nextMillis, nowMillis + RAMP_INTERVAL_MILLIS)));
+                server, (id, p) -> new Pause(p.untilMillis, Math.max(p.nextMillis, nowMillis) + RAMP_INTERVAL_MILLIS));
     }
 
     void forget(String server) {
--- a/core/src/test/java/io/hornbeamscale/core/eligibility/ServerEligibilityTest.java
+++ b/core/src/test/java/io/hornbeamscale/core/eligibility/ServerEligibilityTest.java
@@ -282,6 +282,61 @@
         }
     }
 
+    /** A request that waits for the end of a pause must neither arrive with all others nor lose its place. */
+    @Nested
+    class Reservation {
+        private long reserve(long nowMillis) {
+            long at = Math.max(nowMillis, check(server, nowMillis).earliestMillis());
+            eligibility.reserve(server, nowMillis);
+            return at;
+        }
+
+        private Verdict checkReserved(long nowMillis) {
+            return eligibility.check(server, SendTerms.ANY.reservedAt("a"), nowMillis);
+        }
+
+        @Test
+        void afterAPauseIsSpacedFromTheOthers() {
+            pause(700);
+            assertEquals(NOW + 700, reserve(NOW));
+            assertEquals(NOW + 700 + ServerPauses.RAMP_INTERVAL_MILLIS, reserve(NOW));
+            assertEquals(NOW + 700 + 2 * ServerPauses.RAMP_INTERVAL_MILLIS, reserve(NOW));
+        }
+
+        @Test
+        void madeShortlyBeforeTheEndOfAPauseIsKept() {
+            pause(700);
+            long at = reserve(NOW + 650);
+            assertEquals(NOW + 700, at);
+            assertTrue(checkReserved(at).isAllowed());
+            assertFalse(check(server, at).isAllowed());
+        }
+
+        @Test
+        void isLostToALongerPause() {
+            pause(700);
+            long at = reserve(NOW);
+            pause(2_000);
+            assertForbidden(IneligibleReason.PAUSED, NOW + 2_000, checkReserved(at));
+        }
+
+        @Test
+        void isLostToAnAnnouncement() {
+            pause(700);
+            long at = reserve(NOW);
+            eligibility.leavingAnnounced(server);
+            assertForbidden(IneligibleReason.LEAVING, Verdict.UNKNOWN, checkReserved(at));
+        }
+
+        @Test
+        void isNotCountedAgainstTheRatesAgain() {
+            limit(2);
+            long at = reserve(NOW);
+            assertTrue(checkReserved(at).isAllowed());
+            assertFalse(check(server, at).isAllowed());
+        }
+    }
+
     @Nested
     class Wait {
         private final FleetServer other = EligibilityFixture.server("b", "z1");
