--- a/gateway/src/main/java/io/hornbeamscale/gateway/DecisionLog.java
+++ b/gateway/src/main/java/io/hornbeamscale/gateway/DecisionLog.java
@@ -77,6 +77,16 @@
         }
     }
 
+    /** Logs that a stream is refused for lack of capacity, with what the caller is told and how many streams wait. */
+    void noRoom(RelayRequest request, long retryAfterMillis, int waiting) {
+        if (isAllowed("no_room")) {
+            requests.info(line("no_room", request)
+                    .with("customer", request.customerName())
+                    .with("retryAfterMillis", retryAfterMillis)
+                    .with("waiting", waiting));
+        }
+    }
+
     /** Logs that an attempt ended without a usable response and the request continues. */
     void repeated(RelayRequest request, FleetServer server, String why) {
         if (isAllowed("repeated")) {
@@ -84,6 +94,22 @@
         }
     }
 
+    /**
+     * Logs that a request is sent to a second server while the first one still has it.
+     *
+     * @param waitedMillis how long the first server has not responded, in milliseconds
+     * @param expectedMillis the expected response time of the second server, in milliseconds
+     */
+    void hedged(RelayRequest request, FleetServer from, FleetServer to, long waitedMillis, double expectedMillis) {
+        if (isAllowed("hedged")) {
+            requests.info(line("hedged", request)
+                    .with("server", from.id())
+                    .with("target", to.id())
+                    .with("waitedMillis", waitedMillis)
+                    .with("expectedMillis", Math.round(expectedMillis)));
+        }
+    }
+
     /** Logs that the state of a stream is about to be copied. */
     void moveStarted(RelayRequest request, FleetServer from, FleetServer to) {
         if (isAllowed("move_started")) {
--- a/gateway/src/main/java/io/hornbeamscale/gateway/RelayRequest.java
+++ b/gateway/src/main/java/io/hornbeamscale/gateway/RelayRequest.java
@@ -1,5 +1,7 @@
 package io.hornbeamscale.gateway;
 
+import io.hornbeamscale.core.admission.AdmissionRequest;
+import io.hornbeamscale.core.admission.RepeatDetector;
 import io.hornbeamscale.core.eligibility.SendTerms;
 import io.hornbeamscale.core.placement.GenerationSize;
 import io.hornbeamscale.core.route.AllowedRegions;
@@ -9,6 +11,7 @@
 import io.hornbeamscale.core.route.RoutedService;
 import io.undertow.util.HeaderMap;
 import java.nio.ByteBuffer;
+import java.util.Objects;
 import java.util.Optional;
 
 /**
@@ -46,11 +49,19 @@
     /** The assumed length of a response if the headers do not tell, in tokens. */
     private static final long DEFAULT_TOKENS = 256;
 
+    /** The length of the end of a body that distinguishes requests; prompts may begin with the same text. */
+    private static final int MAX_HASHED_BYTES = 16 * 1024;
+
     /** Returns the request id for log lines, "-" if there is none. */
     String id() {
         return head.requestId().orElse("-");
     }
 
+    /** Returns the name of the customer, empty if there is none. */
+    String customerName() {
+        return customer.map(Customer::name).orElse("");
+    }
+
     /** Returns whether an engine generates the response as a stream. */
     boolean isGeneration() {
         return route.kind() == RequestKind.STREAMING && service.engine().isPresent();
@@ -99,6 +110,34 @@
         return new GenerationSize(head.promptTokens(), expected > 0 ? expected : DEFAULT_TOKENS);
     }
 
+    /**
+     * Returns what the admission of the generation depends on.
+     *
+     * @param isRepeat whether the caller repeats a refused request too early
+     */
+    AdmissionRequest admission(boolean isRepeat) {
+        GenerationSize size = size();
+        return new AdmissionRequest(
+                service.name(),
+                route.name(),
+                customerName(),
+                Math.max(0, priority()),
+                size.promptTokens(),
+                size.expectedTokens(),
+                arrivedAtMillis,
+                Math.max(0, route.objectiveMillis()),
+                deadlineMillis,
+                isRepeat);
+    }
+
+    /** Returns what is the same in a repeat of this request. */
+    RepeatDetector.Key identity() {
+        int hashed = Math.min(body.remaining(), MAX_HASHED_BYTES);
+        ByteBuffer end = body.slice(body.limit() - hashed, hashed);
+        return new RepeatDetector.Key(
+                customerName(), route.name(), Objects.hash(method, target, body.remaining(), end));
+    }
+
     /** Returns the greatest length of the response, in tokens, or the expected length if the caller sets no limit. */
     long maxTokens() {
         return head.maxOutputTokens() > 0 ? head.maxOutputTokens() : size().expectedTokens();
--- a/gateway/src/main/java/io/hornbeamscale/gateway/StreamCandidates.java
+++ b/gateway/src/main/java/io/hornbeamscale/gateway/StreamCandidates.java
@@ -1,11 +1,11 @@
 package io.hornbeamscale.gateway;
 
+import io.hornbeamscale.core.admission.AdmissionRequest;
 import io.hornbeamscale.core.eligibility.IneligibleReason;
 import io.hornbeamscale.core.eligibility.SendTerms;
 import io.hornbeamscale.core.eligibility.Verdict;
 import io.hornbeamscale.core.fleet.FleetServer;
 import io.hornbeamscale.core.placement.GenerationSize;
-import io.hornbeamscale.core.placement.PlacementQueue;
 import io.hornbeamscale.core.route.EngineSpec;
 import java.util.Collection;
 import java.util.HashSet;
@@ -76,6 +76,30 @@
         return traffic.generationPlacement().choose(servers(), engine(), size, terms(), nowMillis, traffic.random());
     }
 
+    /**
+     * Chooses the server for a new run of a queued stream, within this entry's share of the room at each server; empty
+     * if there is none now.
+     */
+    Optional<FleetServer> chooseQueued(long nowMillis) {
+        Set<String> denied = new HashSet<>();
+        while (true) {
+            Optional<FleetServer> chosen = traffic.generationPlacement()
+                    .choose(servers(), engine(), size, termsExcluding(denied), nowMillis, traffic.random());
+            if (chosen.isEmpty() || isWithinShare(chosen.get(), nowMillis)) {
+                if (!denied.isEmpty()) {
+                    traffic.placeWaitingAfterDraw();
+                }
+                return chosen;
+            }
+            denied.add(chosen.get().id());
+        }
+    }
+
+    private boolean isWithinShare(FleetServer server, long nowMillis) {
+        int places = traffic.generationPlacement().places(server, engine(), size, nowMillis);
+        return traffic.queuedDemand().tryTake(server.id(), traffic.queuedTokens(), places, nowMillis, traffic.random());
+    }
+
     /** Chooses the server that receives a backup copy while another one runs the stream. */
     Optional<FleetServer> backupFor(FleetServer runsOn, long nowMillis) {
         if (!engine().canBackUp() || size.expectedTokens() < MIN_BACKUP_TOKENS) {
@@ -113,7 +137,7 @@
     /** Returns the number of servers, of which those with a limit count by the prompts that it allows this entry. */
     double serversWithinLimits() {
         double promptsPerSecond =
-                PlacementQueue.PREFILL_TOKENS_PER_MILLI * MILLIS_PER_SECOND / Math.max(1, size.promptTokens());
+                AdmissionRequest.PREFILL_TOKENS_PER_MILLI * MILLIS_PER_SECOND / Math.max(1, size.promptTokens());
         return servers().stream()
                 .mapToDouble(server -> traffic.limits().requestsPerSecond(server.id()))
                 .map(limit -> Math.min(1, limit / promptsPerSecond))
--- a/gateway/src/main/java/io/hornbeamscale/gateway/StreamRelay.java
+++ b/gateway/src/main/java/io/hornbeamscale/gateway/StreamRelay.java
@@ -1,18 +1,20 @@
 package io.hornbeamscale.gateway;
 
+import io.hornbeamscale.core.admission.AdmissionRequest;
+import io.hornbeamscale.core.admission.RepeatDetector;
 import io.hornbeamscale.core.eligibility.IneligibleReason;
 import io.hornbeamscale.core.eligibility.Verdict;
 import io.hornbeamscale.core.error.ErrorKind;
 import io.hornbeamscale.core.fleet.Endpoint;
 import io.hornbeamscale.core.fleet.FleetServer;
 import io.hornbeamscale.core.placement.GenerationSize;
-import io.hornbeamscale.core.placement.PlacementQueue;
 import io.hornbeamscale.core.route.EngineSpec;
 import io.undertow.server.HttpServerExchange;
 import io.undertow.util.HeaderMap;
 import java.util.List;
 import java.util.Optional;
 import java.util.concurrent.TimeUnit;
+import java.util.function.LongFunction;
 
 /**
  * Relays a request whose response is a stream of events. The generation runs only once: if its server leaves, the state
@@ -34,6 +36,8 @@
 
     private final GenerationSize size;
     private final StreamCandidates candidates;
+    private final RepeatDetector.Key identity;
+    private final AdmissionRequest admission;
     private int sends;
     private StreamAttempt current;
     private StreamAttempt next;
@@ -47,12 +51,14 @@
         super(traffic, exchange, request);
         this.size = request.size();
         this.candidates = new StreamCandidates(traffic, request);
+        this.identity = request.identity();
+        this.admission = request.admission(traffic.repeatDetector().isRepeat(identity, ControlLoop.now()));
         this.lastId = request.lastEventId();
     }
 
     @Override
     void start(long nowMillis) {
-        if (!traffic().waitingStreams().isEmpty() || !tryPlace()) {
+        if (!traffic().waitingStreams().mayPlaceNow(admission, nowMillis) || !tryPlace()) {
             awaitRoom(nowMillis);
         }
     }
@@ -95,6 +101,15 @@
 
     /** Sends the request to a server with room, if there is one. Returns whether it need not wait any longer. */
     boolean tryPlace() {
+        return tryPlace(candidates::choose);
+    }
+
+    /** Does the same for a request that has waited, for which other entries have queued requests as well. */
+    boolean tryPlaceQueued() {
+        return tryPlace(candidates::chooseQueued);
+    }
+
+    private boolean tryPlace(LongFunction<Optional<FleetServer>> choice) {
         if (isEnded() || refuseIfStopping()) {
             return true;
         }
@@ -104,7 +119,7 @@
             failAsQuarantined();
             return true;
         }
-        Optional<FleetServer> chosen = candidates.choose(now);
+        Optional<FleetServer> chosen = choice.apply(now);
         if (chosen.isEmpty()) {
             return false;
         }
@@ -112,6 +127,7 @@
         traffic().eligibility().reserve(chosen.get(), now);
         current = new StreamAttempt(
                 this, chosen.get(), Optional.empty(), candidates.backupFor(chosen.get(), now), lastId);
+        traffic().admitted(this, admission, now);
         current.begin(now);
         return true;
     }
@@ -377,12 +393,6 @@
     }
 
     private void awaitRoom(long nowMillis) {
-        PlacementQueue.Requirements need = new PlacementQueue.Requirements(
-                request().priority(),
-                size.promptTokens(),
-                request().arrivedAtMillis(),
-                request().route().objectiveMillis(),
-                request().deadlineMillis());
         List<FleetServer> servers = candidates.servers();
         if (!servers.isEmpty() && !candidates.mayBecomeEligible(nowMillis)) {
             String why = "no server accepts the request: " + candidates.ineligible(nowMillis);
@@ -390,21 +400,33 @@
             return;
         }
         int ahead = traffic().waitingStreams().size();
-        Optional<Long> retryAfterMillis =
-                traffic().waitingStreams().offer(this, need, candidates.serversWithinLimits(), nowMillis);
+        Optional<Long> retryAfterMillis = traffic()
+                .waitingStreams()
+                .offer(
+                        this,
+                        admission,
+                        candidates.serversWithinLimits(),
+                        traffic().random(),
+                        nowMillis);
         if (retryAfterMillis.isPresent()) {
-            fail(ErrorKind.OVERLOADED, retryAfterMillis.get(), "no server has room in time");
+            refuse(retryAfterMillis.get(), "no server has room in time");
             return;
         }
         traffic().metrics().count("waited");
-        long limit = PlacementQueue.maxWaitMillis(need, nowMillis);
+        long limit = admission.maxWaitMillis(nowMillis);
         traffic().log().waits(request(), servers.size(), candidates.ineligible(nowMillis), ahead, limit);
+        traffic().scheduleStatus();
         traffic().placeWaitingAfterLimits();
-        after(limit, () -> {
-            if (current == null) {
-                fail(ErrorKind.OVERLOADED, RETRY_AFTER_MILLIS, "no server had room in time");
-            }
-        });
+        after(limit + 1, traffic()::placeWaiting);
+    }
+
+    /** Refuses the request, which has not been sent, for lack of capacity. */
+    void refuse(long retryAfterMillis, String why) {
+        traffic().repeatDetector().refused(identity, retryAfterMillis, ControlLoop.now());
+        traffic()
+                .log()
+                .noRoom(request(), retryAfterMillis, traffic().waitingStreams().size());
+        fail(ErrorKind.OVERLOADED, retryAfterMillis, why);
     }
 
     private void after(long millis, Runnable task) {
--- a/gateway/src/main/java/io/hornbeamscale/gateway/TrafficState.java
+++ b/gateway/src/main/java/io/hornbeamscale/gateway/TrafficState.java
@@ -1,10 +1,16 @@
 package io.hornbeamscale.gateway;
 
+import io.hornbeamscale.core.admission.AdmissionQueue;
+import io.hornbeamscale.core.admission.AdmissionRequest;
+import io.hornbeamscale.core.admission.RepeatDetector;
 import io.hornbeamscale.core.blackboard.Blackboard;
 import io.hornbeamscale.core.eligibility.ServerEligibility;
 import io.hornbeamscale.core.fleet.Endpoint;
 import io.hornbeamscale.core.fleet.FleetServer;
 import io.hornbeamscale.core.fleet.FleetSnapshot;
+import io.hornbeamscale.core.hedge.HedgeBudget;
+import io.hornbeamscale.core.hedge.HedgeCandidates;
+import io.hornbeamscale.core.hedge.HedgeDecision;
 import io.hornbeamscale.core.limit.ServerRateLimits;
 import io.hornbeamscale.core.limit.WindowedRetryBudget;
 import io.hornbeamscale.core.placement.CopyLinkSchedule;
@@ -12,8 +18,8 @@
 import io.hornbeamscale.core.placement.GenerationPlacement;
 import io.hornbeamscale.core.placement.HealthTracker;
 import io.hornbeamscale.core.placement.LoadTracker;
-import io.hornbeamscale.core.placement.PlacementQueue;
 import io.hornbeamscale.core.placement.PlainPlacement;
+import io.hornbeamscale.core.placement.QueuedDemand;
 import io.hornbeamscale.core.placement.ServerLoad;
 import io.hornbeamscale.core.route.RoutedService;
 import java.util.HashMap;
@@ -41,8 +47,18 @@
      */
     private static final long STATUS_DELAY_MILLIS = 10;
 
+    /**
+     * How long the placement of waiting streams is delayed after a report of another entry or the end of a plain
+     * request, in milliseconds. Each of up to 24 entries reports every {@link #STATUS_DELAY_MILLIS} at the most; one
+     * attempt serves several reports.
+     */
+    private static final long PLACEMENT_DELAY_MILLIS = 5;
+
     private static final int STATUS_REDIRECT = 300;
 
+    /** The pause after which a share of the room at a server is drawn again, in milliseconds. */
+    private static final long DRAW_RETRY_MILLIS = 55;
+
     private final XnioIoThread thread;
     private final Blackboard blackboard;
     private final ExchangeCodec codec;
@@ -61,14 +77,20 @@
     private final GenerationPlacement generationPlacement;
     private final PlainPlacement plainPlacement;
     private final WindowedRetryBudget repeats;
+    private final HedgeDecision hedging;
+    private final HedgeCandidates hedgeCandidates;
     private final Set<Relay> running = new LinkedHashSet<>();
-    private final PlacementQueue<StreamRelay> waitingStreams = new PlacementQueue<>();
+    private final AdmissionQueue<StreamRelay> waitingStreams;
+    private final RepeatDetector repeatDetector = new RepeatDetector();
+    private final QueuedDemand queuedDemand = new QueuedDemand();
     private final Map<String, Endpoint> knownAddresses = new HashMap<>();
     private CrashDetector crashDetector;
     private Runnable statusSender = () -> {};
     private Consumer<FleetServer> leavingListener = server -> {};
     private boolean isStatusDue;
     private boolean isPlacementScheduled;
+    private boolean isDrawScheduled;
+    private boolean isPlacementDue;
 
     TrafficState(
             XnioIoThread thread,
@@ -89,6 +111,7 @@
         this.metrics = metrics;
         this.log = log;
         this.random = random;
+        waitingStreams = new AdmissionQueue<>(metrics::admission);
         limits = new ServerRateLimits(settings.node());
         eligibility =
                 new ServerEligibility(settings.node(), health, limits, settings.regions(), this::coldRequestsPerSecond);
@@ -98,6 +121,8 @@
         plainPlacement = new PlainPlacement(loads, health, eligibility, settings.zone(), settings.regions());
         repeats =
                 new WindowedRetryBudget(settings.repeatRatio(), settings.repeatWindowMillis(), settings.repeatSlack());
+        hedging = new HedgeDecision(new HedgeBudget(repeats, settings.hedging(), settings.repeatWindowMillis()));
+        hedgeCandidates = new HedgeCandidates(eligibility, limits, plainPlacement, loads);
     }
 
     XnioIoThread thread() {
@@ -175,12 +200,13 @@
             metrics.count("pauses");
             log.serverPaused(server.id(), head.pauseMillis().getAsDouble());
         }
+        pace.workTimeStated(server.id(), head.workPercent());
         head.coldMillis().ifPresent(millis -> eligibility.coldReported(server, millis, nowMillis));
         if (!head.malformed().isEmpty()) {
             log.malformedHeader(server.id(), head.malformed());
         }
         if (isLimitChanged || isPaused) {
-            thread.execute(this::placeWaiting);
+            placeWaitingSoon(0);
         }
     }
 
@@ -209,6 +235,20 @@
         return repeats;
     }
 
+    HedgeDecision hedging() {
+        return hedging;
+    }
+
+    HedgeCandidates hedgeCandidates() {
+        return hedgeCandidates;
+    }
+
+    /** Replaces the limits of repeated sends and hedges. */
+    void reload(GatewaySettings changed) {
+        repeats.setLimits(changed.repeatRatio(), changed.repeatWindowMillis(), changed.repeatSlack());
+        hedging.setLimits(changed.hedging(), changed.repeatWindowMillis());
+    }
+
     FleetSnapshot fleet() {
         return blackboard.get(FleetSnapshot.KEY).orElse(FleetSnapshot.EMPTY);
     }
@@ -224,9 +264,12 @@
     void relayEnded(Relay relay) {
         running.remove(relay);
         if (relay instanceof StreamRelay stream) {
-            waitingStreams.remove(stream);
+            waitingStreams.ended(stream, ControlLoop.now());
+            placeWaitingSoon(0);
+        } else {
+            // Plain requests end often and seldom make room at an engine.
+            placeWaitingSoon(PLACEMENT_DELAY_MILLIS);
         }
-        thread.execute(this::placeWaiting);
     }
 
     /** Returns the number of requests without a complete response. */
@@ -242,6 +285,20 @@
     /** Adds the load of a request that is sent to a server, and schedules a status message to the other entries. */
     void placed(String server, ServerLoad load) {
         loads.add(server, load);
+        scheduleStatus();
+    }
+
+    QueuedDemand queuedDemand() {
+        return queuedDemand;
+    }
+
+    /** Returns the prompt tokens of the streams that wait at this entry. */
+    long queuedTokens() {
+        return waitingStreams.promptTokens();
+    }
+
+    /** Schedules a status message to the other entries. */
+    void scheduleStatus() {
         if (!isStatusDue) {
             isStatusDue = true;
             thread.executeAfter(this::sendStatus, STATUS_DELAY_MILLIS, TimeUnit.MILLISECONDS);
@@ -276,22 +333,72 @@
     }
 
     /** Returns the streams that wait for a server with free capacity. */
-    PlacementQueue<StreamRelay> waitingStreams() {
+    AdmissionQueue<StreamRelay> waitingStreams() {
         return waitingStreams;
     }
 
-    /** Tries to place the waiting streams, in their order. */
+    RepeatDetector repeatDetector() {
+        return repeatDetector;
+    }
+
+    /** Counts a stream that is about to be sent to a server that has room for it. */
+    void admitted(StreamRelay stream, AdmissionRequest request, long nowMillis) {
+        waitingStreams.placed(stream, request, nowMillis);
+        metrics.admitted(nowMillis - request.arrivedAtMillis());
+    }
+
+    /** Handles the load that another entry has placed. Waiting streams are tried if it has become less somewhere. */
+    void peerReported(String peer, Map<String, ServerLoad> reported, long nowMillis) {
+        if (loads.peerReported(peer, reported, nowMillis)) {
+            placeWaitingSoon(PLACEMENT_DELAY_MILLIS);
+        }
+    }
+
+    /** Schedules one attempt to place the waiting streams, if there are any and none is scheduled yet. */
+    private void placeWaitingSoon(long delayMillis) {
+        if (waitingStreams.isEmpty() || (isPlacementDue && delayMillis > 0)) {
+            return;
+        }
+        isPlacementDue = true;
+        Runnable task = () -> {
+            isPlacementDue = false;
+            placeWaiting();
+        };
+        if (delayMillis == 0) {
+            thread.execute(task);
+        } else {
+            thread.executeAfter(task, delayMillis, TimeUnit.MILLISECONDS);
+        }
+    }
+
+    /** Tries to place the waiting streams, in their order, and refuses those that cannot be placed in time. */
     void placeWaiting() {
-        for (StreamRelay stream : waitingStreams.inOrder()) {
-            if (stream.tryPlace()) {
-                waitingStreams.remove(stream);
-            }
+        if (waitingStreams.isEmpty()) {
+            return;
         }
+        waitingStreams.place(StreamRelay::tryPlaceQueued, ControlLoop.now());
+        waitingStreams
+                .refusals(random, ControlLoop.now())
+                .forEach(refusal -> refusal.item().refuse(refusal.retryAfterMillis(), "no server had room in time"));
         placeWaitingAfterLimits();
     }
 
+    /** Schedules the placement of waiting streams for when a share of the room at a server is drawn again. */
+    void placeWaitingAfterDraw() {
+        if (!isDrawScheduled) {
+            isDrawScheduled = true;
+            thread.executeAfter(
+                    () -> {
+                        isDrawScheduled = false;
+                        placeWaiting();
+                    },
+                    DRAW_RETRY_MILLIS,
+                    TimeUnit.MILLISECONDS);
+        }
+    }
+
     private OptionalLong nextPlacementMillis(long nowMillis) {
-        return waitingStreams.inOrder().stream()
+        return waitingStreams.inOrder(nowMillis).stream()
                 .map(stream -> stream.candidates().earliestWaitMillis(nowMillis))
                 .flatMapToLong(OptionalLong::stream)
                 .min();
@@ -339,6 +446,7 @@
                 pace.forget(id);
                 copyLinks.forget(id);
                 eligibility.forget(id);
+                queuedDemand.forget(id);
             }
             return isGone;
         });
