Refuse a stream at once while every server is paused for too long

Cause: a stream whose servers were all paused waited for its whole limit and was then refused with a Retry-After of 0.6 s, in the middle of the pause. The rule is a refusal at once that names the earliest end. Change: before a stream is queued, the earliest time at which some server may get it is compared with its limit; a later time is a refusal with that time as Retry-After. It holds for limits and cold rates too, as for plain requests. Conclusion: plain requests and streams refuse alike.

--- a/gateway/src/main/java/io/hornbeamscale/gateway/StreamCandidates.java
+++ b/gateway/src/main/java/io/hornbeamscale/gateway/StreamCandidates.java
@@ -100,6 +100,16 @@
                 .anyMatch(v -> v.isAllowed() || v.earliestMillis() != Verdict.UNKNOWN);
     }
 
+    /** Returns how long no server may get the stream, as far as that is known, 0 if one may get it now. */
+    long forbiddenMillis(long nowMillis) {
+        return servers().stream()
+                .map(s -> check(s, nowMillis))
+                .filter(v -> v.earliestMillis() != Verdict.UNKNOWN)
+                .mapToLong(v -> v.waitMillis(nowMillis))
+                .min()
+                .orElse(0);
+    }
+
     /** Returns how long the stream must wait until some server may get it, empty if waiting does not help. */
     OptionalLong earliestWaitMillis(long nowMillis) {
         return traffic.eligibility().earliestWaitMillis(servers(), terms(), nowMillis);
--- a/gateway/src/main/java/io/hornbeamscale/gateway/StreamRelay.java
+++ b/gateway/src/main/java/io/hornbeamscale/gateway/StreamRelay.java
@@ -389,6 +389,13 @@
             fail(ErrorKind.OVERLOADED, RETRY_AFTER_MILLIS, why);
             return;
         }
+        long limit = PlacementQueue.maxWaitMillis(need, nowMillis);
+        long forbidden = candidates.forbiddenMillis(nowMillis);
+        if (forbidden > limit) {
+            String why = "the request would have to wait too long: " + candidates.ineligible(nowMillis);
+            fail(ErrorKind.OVERLOADED, forbidden, why);
+            return;
+        }
         int ahead = traffic().waitingStreams().size();
         Optional<Long> retryAfterMillis =
                 traffic().waitingStreams().offer(this, need, candidates.serversWithinLimits(), nowMillis);
@@ -397,7 +404,6 @@
             return;
         }
         traffic().metrics().count("waited");
-        long limit = PlacementQueue.maxWaitMillis(need, nowMillis);
         traffic().log().waits(request(), servers.size(), candidates.ineligible(nowMillis), ahead, limit);
         traffic().placeWaitingAfterLimits();
         after(limit, () -> {
