Keep the announcement of a later incarnation

Cause: a response of an earlier incarnation that ended late and announced its leaving replaced the announcement of the present incarnation, which then got requests again. Change: an announcement of an earlier registration than the recorded one is ignored. Conclusion: the state of an incarnation does not depend on the order in which responses end.

--- a/core/src/main/java/io/hornbeamscale/core/eligibility/LeavingServers.java
+++ b/core/src/main/java/io/hornbeamscale/core/eligibility/LeavingServers.java
@@ -13,10 +13,15 @@
 final class LeavingServers {
     private final Map<String, ServerRegistration> announced = new HashMap<>();
 
-    /** Records an announcement. Returns whether it is new. */
+    /** Records an announcement. Returns whether it is new; one of an earlier incarnation may arrive late. */
     boolean announced(FleetServer server) {
-        ServerRegistration before = announced.put(server.id(), server.registration());
-        return before == null || !server.registration().isSameIncarnation(before);
+        ServerRegistration found = server.registration();
+        ServerRegistration before = announced.get(server.id());
+        boolean isKnown = before != null && (found.isSameIncarnation(before) || found.isOlderThan(before));
+        if (!isKnown) {
+            announced.put(server.id(), found);
+        }
+        return !isKnown;
     }
 
     boolean isLeaving(FleetServer server) {
--- a/core/src/test/java/io/hornbeamscale/core/eligibility/ServerEligibilityTest.java
+++ b/core/src/test/java/io/hornbeamscale/core/eligibility/ServerEligibilityTest.java
@@ -208,6 +208,14 @@
             assertTrue(check(EligibilityFixture.server("b", "z1"), NOW).isAllowed());
         }
 
+        /** A response of the earlier incarnation may end after the server has started again. */
+        @Test
+        void ofAnEarlierIncarnationDoesNotReplaceALaterOne() {
+            eligibility.leavingAnnounced(restarted);
+            assertFalse(eligibility.leavingAnnounced(server));
+            assertForbidden(IneligibleReason.LEAVING, Verdict.UNKNOWN, check(restarted, NOW));
+        }
+
         @Test
         void appliesToTheNextIncarnationToo() {
             eligibility.leavingAnnounced(server);
