--- a/gateway/src/main/java/io/hornbeamscale/gateway/StreamRelay.java
+++ b/gateway/src/main/java/io/hornbeamscale/gateway/StreamRelay.java
@@ -399,6 +399,13 @@
             fail(ErrorKind.OVERLOADED, RETRY_AFTER_MILLIS, why);
             return;
         }
+        long limit = admission.maxWaitMillis(nowMillis);
+        long forbidden = candidates.forbiddenMillis(nowMillis);
+        if (forbidden > limit) {
+            String why = "the request would have to wait too long: " + candidates.ineligible(nowMillis);
+            fail(ErrorKind.OVERLOADED, forbidden, why);
+            return;
+        }
         int ahead = traffic().waitingStreams().size();
         Optional<Long> retryAfterMillis = traffic()
                 .waitingStreams()
@@ -413,7 +420,6 @@
             return;
         }
         traffic().metrics().count("waited");
-        long limit = admission.maxWaitMillis(nowMillis);
         traffic().log().waits(request(), servers.size(), candidates.ineligible(nowMillis), ahead, limit);
         traffic().scheduleStatus();
         traffic().placeWaitingAfterLimits();
