--- a/daemon/src/test/java/io/hornbeamscale/daemon/DaemonProcesses.java
+++ b/daemon/src/test/java/io/hornbeamscale/daemon/DaemonProcesses.java
@@ -17,11 +17,24 @@
     private final Path directory;
     private final Map<String, Process> running = new HashMap<>();
     private final Map<String, List<String>> commands = new HashMap<>();
+    private int heapMegabytes = 128;
+    private int maxDescriptors;
 
     DaemonProcesses(Path directory) {
         this.directory = directory;
     }
 
+    /** Sets the heap and the number of descriptors of each process that is started from now on. */
+    void limit(int megabytes, int descriptors) {
+        heapMegabytes = megabytes;
+        maxDescriptors = descriptors;
+    }
+
+    /** Returns the handle of a process. */
+    ProcessHandle handle(String name) {
+        return running.get(name).toHandle();
+    }
+
     /** Starts a daemon. The name identifies it in the other methods. */
     void start(String name, String role, String settings) {
         try {
@@ -70,8 +83,12 @@
     private void launch(String name, List<String> args) throws IOException {
         commands.put(name, args);
         List<String> command = new ArrayList<>();
+        if (maxDescriptors > 0) {
+            command.addAll(List.of("sh", "-c", "ulimit -n " + maxDescriptors + "; exec \"$@\"", "sh"));
+        }
         command.add(Path.of(System.getProperty("java.home"), "bin", "java").toString());
-        command.addAll(List.of("-Xmx128m", "-XX:TieredStopAtLevel=1", "-cp", System.getProperty("java.class.path")));
+        command.addAll(List.of(
+                "-Xmx" + heapMegabytes + "m", "-XX:TieredStopAtLevel=1", "-cp", System.getProperty("java.class.path")));
         command.add(Main.class.getName());
         command.addAll(args);
         Path log = directory.resolve(name + ".log");
--- a/daemon/src/test/java/io/hornbeamscale/daemon/GatewayProcess.java
+++ b/daemon/src/test/java/io/hornbeamscale/daemon/GatewayProcess.java
@@ -20,13 +20,16 @@
              "services":[{"name":"shop","healthPath":"/health","maxConnections":100},
               {"name":"tales","healthPath":"/health","maxConnections":100,"engine":{"slots":24,"kvCapacity":34377,
                "kvTokenBytes":163840,"linkMbps":24000.0,"moves":true,"backups":false,"stride":4}}],
-             "limits":{"maxHeaderBytes":4096,"maxBodyBytes":100000,"headerTimeoutMs":3000,"idleTimeoutMs":15000},
+             "limits":{"maxHeaderBytes":%d,"maxBodyBytes":%d,"headerTimeoutMs":3000,"idleTimeoutMs":15000},
              "tenants":[]}""";
     private static final String NAME = "gateway";
     private static final int GRACE_SECONDS = 8;
 
     private final DaemonProcesses processes;
     private final PlatformStoreStandIn store;
+    private int maxHeaderBytes = 4_096;
+    private int maxBodyBytes = 100_000;
+    private String extraSettings = "";
     private final Endpoint callerAddress = new Endpoint("127.0.0.1", TestSettings.freePort());
     private final Endpoint readinessAddress = new Endpoint("127.0.0.1", TestSettings.freePort());
 
@@ -39,6 +42,21 @@
         return callerAddress;
     }
 
+    ProcessHandle handle() {
+        return processes.handle(NAME);
+    }
+
+    /** Sets the size limits of the document; must precede the start. */
+    void setSizeLimits(int headerBytes, int bodyBytes) {
+        maxHeaderBytes = headerBytes;
+        maxBodyBytes = bodyBytes;
+    }
+
+    /** Adds fields to the settings; must precede the start. */
+    void addSettings(String fields) {
+        extraSettings = "," + fields;
+    }
+
     /** Registers a backend server in the store. */
     void register(String id, String service, ScriptedBackend backend) {
         store.put(
@@ -50,13 +68,13 @@
 
     /** Starts the process and waits until it is ready, for which a server must be registered. */
     void start() throws InterruptedException {
-        store.put("op/config", DOCUMENT);
+        store.put("op/config", DOCUMENT.formatted(maxHeaderBytes, maxBodyBytes));
         String settings = "{\"nodeName\":\"edge-1\",\"role\":\"gateway\",\"ip\":\"127.0.0.1\",\"zone\":\"z1\","
                 + "\"region\":\"r1\",\"zones\":{\"z1\":\"r1\"},\"listen\":{\"front\":\"" + callerAddress
                 + "\",\"readiness\":\"" + readinessAddress + "\"},\"internalPorts\":[" + TestSettings.freePort() + ","
                 + TestSettings.freePort() + "],\"bounds\":{\"drainMs\":3000,\"graceS\":" + GRACE_SECONDS
                 + ",\"retryBudget\":0.2,\"budgetWindowS\":10,\"retrySlack\":54},\"platform\":{\"address\":\""
-                + store.endpoint() + "\"}}";
+                + store.endpoint() + "\"}" + extraSettings + "}";
         processes.start(NAME, "gateway", settings);
         Await.until("the gateway is ready", this::isReady);
     }
