Bound what is held for uncontrolled clients by one byte budget

Cause: heads, bodies and unread responses were held without a common bound, connections could use all descriptors, and the HTTP library refused requests within the document's limits because of their shape. Change: HeldBytesBudget (core.limit) counts heads while they are read, bodies, framing of chunks and unread responses, and selects the slowest and largest clients to close. CallerListener accepts connections itself, so that CallerChannel counts below the parser. RequestBodyReader replaces the whole-body receiver. Heads are limited by headerTimeoutMs, bodies by idleTimeoutMs without a byte and by the deadline. ClientLimits derives defaults from heap and descriptors; clientLimits in the settings replaces them. Undertow's limits on lines, parameters and body size no longer refuse what fits. A header line is counted with 3 bytes besides its text instead of 4, as the shortest line has 4 bytes. In GatewayLimitsTest the 4-byte lines have 36 names in turn. The failure message of UncontrolledClientsTest leaves out client_closed lines; its crowd and bounds are unchanged. Bodies of responses still being received from servers are not counted.

--- a/daemon/src/main/java/io/hornbeamscale/daemon/CdsTrainingRun.java
+++ b/daemon/src/main/java/io/hornbeamscale/daemon/CdsTrainingRun.java
@@ -3,6 +3,7 @@
 import io.hornbeamscale.core.fleet.Endpoint;
 import io.hornbeamscale.gateway.Gateway;
 import io.hornbeamscale.gateway.GatewaySettings;
+import io.hornbeamscale.gateway.ProcessLimits;
 import io.hornbeamscale.platform.PlatformExchangeCodec;
 import io.hornbeamscale.platform.PlatformMetadataStore;
 import io.hornbeamscale.platform.PlatformStoreSchema;
@@ -41,6 +42,7 @@
                     freeEndpoint().port(),
                     freeEndpoint().port(),
                     freeEndpoint(),
+                    ProcessLimits.clients(),
                     1_000,
                     1_000,
                     0.1,
--- a/gateway/src/main/java/io/hornbeamscale/gateway/CallerResponse.java
+++ b/gateway/src/main/java/io/hornbeamscale/gateway/CallerResponse.java
@@ -14,6 +14,7 @@
     private static final long MAX_QUEUED_BYTES = 2L << 20;
 
     private final HttpServerExchange exchange;
+    private final CallerChannel caller;
     private final ArrayDeque<ByteBuffer> queue = new ArrayDeque<>();
     private StreamSinkChannel channel;
     private long queuedBytes;
@@ -23,6 +24,7 @@
 
     CallerResponse(HttpServerExchange exchange) {
         this.exchange = exchange;
+        this.caller = CallerChannel.of(exchange);
     }
 
     /** Returns whether the head of the response has been sent or is being sent. */
@@ -34,7 +36,7 @@
     void respond(byte[] body) {
         exchange.setResponseContentLength(body.length);
         isLast = true;
-        queue.add(ByteBuffer.wrap(body));
+        enqueue(body);
         open();
         writeQueued();
     }
@@ -56,12 +58,11 @@
         if (isEnded || bytes.length == 0) {
             return;
         }
-        queuedBytes += bytes.length;
-        if (queuedBytes > MAX_QUEUED_BYTES) {
+        if (queuedBytes + bytes.length > MAX_QUEUED_BYTES) {
             abort();
             return;
         }
-        queue.add(ByteBuffer.wrap(bytes));
+        enqueue(bytes);
         writeQueued();
     }
 
@@ -77,6 +78,31 @@
         IoUtils.safeClose(exchange.getConnection());
     }
 
+    private void enqueue(byte[] bytes) {
+        queuedBytes += bytes.length;
+        queue.add(ByteBuffer.wrap(bytes));
+        if (caller != null) {
+            caller.hold(bytes.length, ControlLoop.now());
+        }
+    }
+
+    private void written(int count) {
+        queuedBytes -= count;
+        if (caller != null) {
+            caller.free(count);
+            if (queuedBytes == 0) {
+                caller.responseWritten();
+            }
+        }
+    }
+
+    private void blocked() {
+        if (caller != null) {
+            caller.responseBlocked(ControlLoop.now());
+        }
+        channel.resumeWrites();
+    }
+
     private void open() {
         if (channel == null) {
             channel = exchange.getResponseChannel();
@@ -92,11 +118,11 @@
             while (!queue.isEmpty()) {
                 ByteBuffer first = queue.peek();
                 int count = channel.write(first);
-                queuedBytes -= count;
+                written(count);
                 if (!first.hasRemaining()) {
                     queue.poll();
                 } else if (count == 0) {
-                    channel.resumeWrites();
+                    blocked();
                     return;
                 }
             }
@@ -105,7 +131,7 @@
                 channel.shutdownWrites();
             }
             if (!channel.flush()) {
-                channel.resumeWrites();
+                blocked();
                 return;
             }
             channel.suspendWrites();
--- a/gateway/src/main/java/io/hornbeamscale/gateway/DecisionLog.java
+++ b/gateway/src/main/java/io/hornbeamscale/gateway/DecisionLog.java
@@ -122,6 +122,23 @@
         }
     }
 
+    /**
+     * Logs that a client was refused or its connection closed because of a limit.
+     *
+     * @param waitedMillis how long this process has waited for the client, in milliseconds
+     * @param heldBytes the bytes held for all clients
+     */
+    void clientClosed(String reason, long waitedMillis, long heldBytes, int connections) {
+        if (isAllowed("client_closed")) {
+            requests.info(new Line()
+                    .with("event", "client_closed")
+                    .with("reason", reason)
+                    .with("waitedMillis", waitedMillis)
+                    .with("heldBytes", heldBytes)
+                    .with("connections", connections));
+        }
+    }
+
     /** Logs that a server crashed while it ran requests. */
     void crashSeen(String server, int requests) {
         if (isAllowed("crash")) {
--- a/gateway/src/main/java/io/hornbeamscale/gateway/GatewayHandler.java
+++ b/gateway/src/main/java/io/hornbeamscale/gateway/GatewayHandler.java
@@ -5,7 +5,6 @@
 import io.hornbeamscale.core.route.Route;
 import io.hornbeamscale.core.route.RouteDocument;
 import io.hornbeamscale.core.route.RoutedService;
-import io.undertow.io.Receiver;
 import io.undertow.server.HttpHandler;
 import io.undertow.server.HttpServerExchange;
 import io.undertow.util.HeaderMap;
@@ -21,7 +20,9 @@
  * Accepts callers' requests on the traffic thread: checks route, API key and size limits, then starts a {@link Relay}.
  */
 final class GatewayHandler implements HttpHandler {
-    private static final int HEADER_OVERHEAD_BYTES = 4;
+    /** The colon and the end of a line; white space around a value is not counted. */
+    private static final int HEADER_OVERHEAD_BYTES = 3;
+
     private static final long RETRY_AFTER_MILLIS = 500;
 
     /**
@@ -33,16 +34,22 @@
 
     private final TrafficState traffic;
     private final Supplier<Optional<RouteDocument>> document;
-    private final CallerConnections connections = new CallerConnections();
+    private final CallerConnections connections;
 
     GatewayHandler(TrafficState traffic, Supplier<Optional<RouteDocument>> document) {
         this.traffic = traffic;
         this.document = document;
+        connections = new CallerConnections(
+                traffic.settings().clientLimits(), traffic.thread(), traffic.metrics(), traffic.log());
+    }
+
+    CallerConnections connections() {
+        return connections;
     }
 
-    /** Closes callers' connections that were idle for longer than the document allows. */
+    /** Closes callers' connections that take longer than the document allows. */
     void closeIdleConnections(long nowMillis) {
-        document.get().ifPresent(rules -> connections.closeIdle(rules.limits().idleTimeoutMillis(), nowMillis));
+        document.get().ifPresent(rules -> connections.closeExpired(rules.limits(), nowMillis));
     }
 
     /** Returns the number of requests whose response has not been written completely. */
@@ -53,7 +60,7 @@
     @Override
     public void handleRequest(HttpServerExchange exchange) {
         long now = ControlLoop.now();
-        connections.requestStarted(exchange);
+        connections.requestStarted(exchange, now);
         CallerRequestHead head = traffic.codec().decodeCallerRequest(exchange.getRequestHeaders());
         if (document.get().isPresent()) {
             begin(exchange, head, document.get().get(), now);
@@ -100,22 +107,40 @@
             refuse(exchange, head, ErrorKind.PAYLOAD_TOO_LARGE, -1, "body too large");
             return;
         }
-        exchange.getRequestReceiver().setMaxBufferSize((int)
-                Math.min(Integer.MAX_VALUE, rules.limits().maxBodyBytes()));
-        exchange.getRequestReceiver()
-                .receiveFullBytes(
-                        (ex, body) ->
-                                accept(ex, head, rules, route.get(), needsKey ? customer : Optional.empty(), body, now),
-                        (ex, e) -> {
-                            ex.setPersistent(false);
-                            boolean isTooLarge = e instanceof Receiver.RequestToLargeException;
-                            refuse(
-                                    ex,
-                                    head,
-                                    isTooLarge ? ErrorKind.PAYLOAD_TOO_LARGE : ErrorKind.BAD_REQUEST,
-                                    -1,
-                                    "the body could not be read: " + e.getMessage());
-                        });
+        readBody(exchange, head, rules, route.get(), needsKey ? customer : Optional.empty(), now);
+    }
+
+    private void readBody(
+            HttpServerExchange exchange,
+            CallerRequestHead head,
+            RouteDocument rules,
+            Route route,
+            Optional<Customer> customer,
+            long now) {
+        CallerChannel channel = CallerChannel.of(exchange);
+        if (channel == null) {
+            // The connection is being closed.
+            exchange.endExchange();
+            return;
+        }
+        long maxBytes = rules.limits().maxBodyBytes();
+        RequestBodyReader.Listener listener = new RequestBodyReader.Listener() {
+            @Override
+            public void completed(byte[] body) {
+                accept(exchange, head, rules, route, customer, body, now);
+            }
+
+            @Override
+            public void refused(ErrorKind kind, String why) {
+                refuse(exchange, head, kind, kind == ErrorKind.OVERLOADED ? RETRY_AFTER_MILLIS : -1, why);
+            }
+        };
+        long deadline = now + timeoutMillis(head, route);
+        new RequestBodyReader(exchange, channel, connections, maxBytes, deadline, listener).begin(ControlLoop.now());
+    }
+
+    private static long timeoutMillis(CallerRequestHead head, Route route) {
+        return head.timeoutMillis() > 0 ? Math.min(route.timeoutMillis(), head.timeoutMillis()) : route.timeoutMillis();
     }
 
     private void accept(
@@ -126,10 +151,6 @@
             Optional<Customer> customer,
             byte[] body,
             long arrivedAtMillis) {
-        long limit = route.timeoutMillis();
-        if (head.timeoutMillis() > 0) {
-            limit = Math.min(limit, head.timeoutMillis());
-        }
         String service = route.selectService(head.requestId().orElse("").hashCode());
         HeaderMap headers = exchange.getRequestHeaders();
         RelayRequest request = new RelayRequest(
@@ -144,7 +165,7 @@
                 headers.contains(Headers.CONTENT_LENGTH) || headers.contains(Headers.TRANSFER_ENCODING),
                 rules.version(),
                 arrivedAtMillis,
-                arrivedAtMillis + limit);
+                arrivedAtMillis + timeoutMillis(head, route));
         if (traffic.stop().isStopping()) {
             exchange.setPersistent(false);
         }
@@ -177,6 +198,10 @@
         exchange.setStatusCode(status);
         traffic.codec().encodeLocalResponse(exchange.getResponseHeaders(), head.requestId(), retryAfterMillis);
         byte[] body = LocalErrorResponses.body(kind);
+        CallerChannel channel = CallerChannel.of(exchange);
+        if (channel != null && !exchange.isRequestComplete()) {
+            channel.discardRest(ControlLoop.now());
+        }
         exchange.dispatch(SameThreadExecutor.INSTANCE, () -> new CallerResponse(exchange).respond(body));
     }
 
--- a/gateway/src/main/java/io/hornbeamscale/gateway/GatewayMetrics.java
+++ b/gateway/src/main/java/io/hornbeamscale/gateway/GatewayMetrics.java
@@ -1,5 +1,6 @@
 package io.hornbeamscale.gateway;
 
+import com.codahale.metrics.Counter;
 import com.codahale.metrics.Histogram;
 import com.codahale.metrics.MetricRegistry;
 import io.hornbeamscale.core.route.RequestKind;
@@ -10,6 +11,7 @@
     private static final int STATUS_CLASS = 100;
 
     private final MetricRegistry registry = new MetricRegistry();
+    private final Counter heldBytes = registry.counter("clients_held_bytes");
     private final Histogram firstEvent = registry.histogram("first_event_millis");
 
     MetricRegistry registry() {
@@ -32,6 +34,11 @@
         firstEvent.update(millis);
     }
 
+    /** Records the bytes that are held for callers. */
+    void setHeldBytes(long bytes) {
+        heldBytes.inc(bytes - heldBytes.getCount());
+    }
+
     void count(String name) {
         registry.counter(name).inc();
     }
--- a/gateway/src/main/java/io/hornbeamscale/gateway/GatewaySettings.java
+++ b/gateway/src/main/java/io/hornbeamscale/gateway/GatewaySettings.java
@@ -1,6 +1,7 @@
 package io.hornbeamscale.gateway;
 
 import io.hornbeamscale.core.fleet.Endpoint;
+import io.hornbeamscale.core.limit.ClientLimits;
 import java.util.Map;
 import java.util.Optional;
 
@@ -16,6 +17,7 @@
  * @param peerPort the port for the other entries
  * @param metricsPort the port of the metrics
  * @param storeAddress the address of the metadata store
+ * @param clientLimits the limits on what is held for all callers
  * @param drainMillis the time within which requests to a leaving server must stop, in milliseconds
  * @param graceMillis the grace period between the request to stop and the kill, in milliseconds
  * @param repeatRatio the repeated sends allowed per request
@@ -32,6 +34,7 @@
         int peerPort,
         int metricsPort,
         Endpoint storeAddress,
+        ClientLimits clientLimits,
         long drainMillis,
         long graceMillis,
         double repeatRatio,
@@ -62,6 +65,7 @@
                 peerPort,
                 port,
                 storeAddress,
+                clientLimits,
                 drainMillis,
                 graceMillis,
                 repeatRatio,
