Bound heads, chunk sizes and trailers of servers' responses

Cause: the HTTP client keeps a status line, header, chunk size or trailer in memory without a limit, so one faulty server could use up the memory of the process. Change: ServerChannel, a conduit below the client's parser, ends a response after 64 kB in a row without content. ServerConnector puts it on each connection that the client opens.

--- a/gateway/src/main/java/io/hornbeamscale/gateway/BackendClient.java
+++ b/gateway/src/main/java/io/hornbeamscale/gateway/BackendClient.java
@@ -40,6 +40,7 @@
     private static final int MAX_IDLE_CONNECTIONS = 24;
 
     private final XnioIoThread thread;
+    private final ServerConnector connector;
     private final ByteBufferPool buffers;
     private final Map<Endpoint, Deque<PooledConnection>> idle = new HashMap<>();
     private long openedConnections;
@@ -52,6 +53,7 @@
      */
     public BackendClient(XnioIoThread thread, ByteBufferPool buffers) {
         this.thread = Arguments.notNull(thread, "thread");
+        this.connector = new ServerConnector(thread);
         this.buffers = Arguments.notNull(buffers, "buffers");
     }
 
@@ -131,6 +133,10 @@
         return thread;
     }
 
+    ServerConnector connector() {
+        return connector;
+    }
+
     ByteBufferPool buffers() {
         return buffers;
     }
--- a/gateway/src/main/java/io/hornbeamscale/gateway/BackendExchange.java
+++ b/gateway/src/main/java/io/hornbeamscale/gateway/BackendExchange.java
@@ -94,7 +94,8 @@
                             @Override
                             public void completed(ClientConnection result) {
                                 connectTimer.remove();
-                                sendOn(new PooledConnection(result));
+                                sendOn(new PooledConnection(
+                                        result, client.connector().opened()));
                             }
 
                             @Override
@@ -103,7 +104,7 @@
                             }
                         },
                         uri,
-                        client.thread(),
+                        client.connector(),
                         client.buffers(),
                         OPTIONS);
     }
@@ -115,6 +116,7 @@
         }
         connection = used;
         used.recordSend(request.requestId());
+        used.channel().contentReceived();
         ClientRequest head =
                 new ClientRequest().setMethod(new HttpString(request.method())).setPath(request.target());
         for (HeaderValues values : request.headers()) {
@@ -224,6 +226,7 @@
                     return;
                 }
                 receivedBytes += count;
+                connection.channel().contentReceived();
                 buffer.flip();
                 listener.received(buffer);
             }
--- a/gateway/src/main/java/io/hornbeamscale/gateway/PooledConnection.java
+++ b/gateway/src/main/java/io/hornbeamscale/gateway/PooledConnection.java
@@ -17,12 +17,18 @@
     private static final int MAX_REQUESTS = 100;
 
     private final ClientConnection connection;
+    private final ServerChannel channel;
     private final Set<String> sentIds = new HashSet<>();
     private long idleSinceMillis;
     private long expiresAtMillis;
 
-    PooledConnection(ClientConnection connection) {
+    PooledConnection(ClientConnection connection, ServerChannel channel) {
         this.connection = connection;
+        this.channel = channel;
+    }
+
+    ServerChannel channel() {
+        return channel;
     }
 
     ClientConnection connection() {
