--- a/gateway/src/main/java/io/hornbeamscale/gateway/GatewayMetrics.java
+++ b/gateway/src/main/java/io/hornbeamscale/gateway/GatewayMetrics.java
@@ -1,5 +1,6 @@
 package io.hornbeamscale.gateway;
 
+import com.codahale.metrics.Counter;
 import com.codahale.metrics.Gauge;
 import com.codahale.metrics.Histogram;
 import com.codahale.metrics.MetricRegistry;
@@ -14,6 +15,7 @@
     private static final int STATUS_CLASS = 100;
 
     private final MetricRegistry registry = new MetricRegistry();
+    private final Counter heldBytes = registry.counter("clients_held_bytes");
     private final Histogram firstEvent = registry.histogram("first_event_millis");
     private final Histogram admissionWait = registry.histogram("admission_wait_millis");
 
@@ -60,6 +62,11 @@
         registry.counter("hedges_cancelled_millis").inc(millis);
     }
 
+    /** Records the bytes that are held for callers. */
+    void setHeldBytes(long bytes) {
+        heldBytes.inc(bytes - heldBytes.getCount());
+    }
+
     void count(String name) {
         registry.counter(name).inc();
     }
