Do not keep unused turns at a cold server

Cause: an entry that does not share the rate of a cold server has a turn now and then. A turn that it did not use stayed available, so after an idle time all these entries sent in the same second of a burst and exceeded what the server bears. Change: such an entry may use its turn for 100 ms and then has to wait for the next one. Named limits keep unused turns still; their bound is over 4 s, not one.

--- a/core/src/main/java/io/hornbeamscale/core/limit/ColdServerRates.java
+++ b/core/src/main/java/io/hornbeamscale/core/limit/ColdServerRates.java
@@ -15,6 +15,12 @@
      */
     static final double SHARERS_PER_REQUEST_PER_SECOND = 0.25;
 
+    /**
+     * How long an entry that does not share the rate may use its turn, in milliseconds. Turns that were kept would be
+     * used by all these entries in the same second of a burst.
+     */
+    private static final long TURN_MILLIS = 100;
+
     private final RateShares shares;
     private final Map<String, Long> nextMillis = new HashMap<>();
 
@@ -46,7 +52,15 @@
      */
     public long nextMillis(String server, double requestsPerSecond, long nowMillis) {
         Arguments.notNull(server, "server");
-        return nextMillis.computeIfAbsent(server, id -> nowMillis + shares.firstPauseMillis(id, requestsPerSecond));
+        long next =
+                nextMillis.computeIfAbsent(server, id -> nowMillis + shares.firstPauseMillis(id, requestsPerSecond));
+        boolean isTurnLost = nowMillis - next > TURN_MILLIS && !shares.isSharer(server, requestsPerSecond);
+        if (isTurnLost) {
+            long interval = shares.intervalMillis(server, requestsPerSecond);
+            next += ((nowMillis - next) / interval + 1) * interval;
+            nextMillis.put(server, next);
+        }
+        return next;
     }
 
     /**
--- a/core/src/main/java/io/hornbeamscale/core/limit/RateShares.java
+++ b/core/src/main/java/io/hornbeamscale/core/limit/RateShares.java
@@ -97,6 +97,17 @@
         return rank(server) / (double) entries.size();
     }
 
+    /**
+     * Returns whether this entry shares the rate of a server, rather than only noticing its end.
+     *
+     * @param server the id of the server, not null
+     * @param requestsPerSecond the rate that the server bears from all entries, greater than 0
+     * @return whether it is among the entries that share the rate
+     */
+    public boolean isSharer(String server, double requestsPerSecond) {
+        return rank(server) < sharers(requestsPerSecond);
+    }
+
     private int rank(String server) {
         List<String> order = RendezvousHash.owners(entries, Function.identity(), server, entries.size());
         return order.indexOf(self);
--- a/core/src/test/java/io/hornbeamscale/core/eligibility/ColdServerLoadTest.java
+++ b/core/src/test/java/io/hornbeamscale/core/eligibility/ColdServerLoadTest.java
@@ -95,6 +95,16 @@
             }
         }
 
+        /** Turns that entries did not use must not add up to a burst. */
+        @ParameterizedTest
+        @CsvSource({"12,2,60000", "25,2,20000", "25,2,60000", "25,4,60000", "25,8,60000"})
+        void isKeptInABurstAfterAnIdleTime(int count, double rate, long idleMillis) {
+            List<ServerEligibility> entries = entries(count, rate);
+            run(entries, 0, STEP_MILLIS, 1, new Random(1));
+            run(entries, idleMillis, idleMillis + RUN_MILLIS, 1, new Random(1));
+            assertWithinRate(rate);
+        }
+
         /** A store that is cut off loses the entries' registrations; each entry must not take the whole rate. */
         @Test
         void isKeptByEntriesThatHaveLostTheOthers() {
