Keep prompts away from slow servers with running streams

Cause: 98 of 217 long responses that began on slow servers had a gap above the objective, of which most lie between 190 and 210 ms: the server read another prompt beside a noisy neighbor. Change: the cost of a prompt on a slow server grows with the requests that run there.

--- a/core/src/main/java/io/hornbeamscale/core/placement/GenerationPlacement.java
+++ b/core/src/main/java/io/hornbeamscale/core/placement/GenerationPlacement.java
@@ -92,8 +92,15 @@
      */
     private static final double LONG_SLOWDOWN_COST_MILLIS = 10_000;
 
-    /** The same cost for a short response, which has few gaps and keeps its prompt away from the faster servers. */
-    private static final double SHORT_SLOWDOWN_COST_MILLIS = 30;
+    /** The same cost for a short response, which has few gaps. */
+    private static final double SHORT_SLOWDOWN_COST_MILLIS = 150;
+
+    /**
+     * The cost of a prompt on a server that takes twice as long per event as the fastest, for each request that runs
+     * there, in milliseconds. While a slow server reads a prompt, the gaps of its running streams exceed their
+     * objective; a faster server reads it within the objective.
+     */
+    private static final double DISTURBANCE_COST_MILLIS = 700;
 
     /** The maximum random cost, in milliseconds, which keeps several entries from choosing the same server. */
     private static final double MAX_JITTER_MILLIS = 12;
@@ -162,7 +169,7 @@
             ServerLoad load = loads.of(server.id(), nowMillis);
             return hasRoom(load, engine, size)
                     ? cost(server, load, zone, nowMillis)
-                            + slowdownCost(server, servers, size)
+                            + slowdownCost(server, servers, size, load.requests())
                             + strandedCost(server, servers, engine, size, nowMillis)
                     : Double.POSITIVE_INFINITY;
         });
@@ -194,7 +201,7 @@
             ServerLoad load = loads.of(server.id(), nowMillis);
             return load.requests() < engine.slots() && isSameRegion(server, source)
                     ? cost(server, load, source.registration().zone(), nowMillis)
-                            + slowdownCost(server, servers, size)
+                            + slowdownCost(server, servers, size, load.requests())
                             + copyCost(server, source, engine, size, nowMillis)
                             + queuedCopies * copyMillis(server, source, engine, size)
                             + overflowCost(load, engine, size)
@@ -236,7 +243,7 @@
             }
             return cost(server, load, runsOn.registration().zone(), nowMillis)
                     + BACKUP_MEMORY_COST_MILLIS * load.tokens() / engine.memoryTokens()
-                    + slowdownCost(server, servers, size)
+                    + slowdownCost(server, servers, size, load.requests())
                     + copyCost(server, runsOn, engine, size, nowMillis);
         });
     }
@@ -337,9 +344,14 @@
         return (double) Math.max(0, used - free) / engine.memoryTokens() * STRANDED_COST_MILLIS;
     }
 
-    private double slowdownCost(FleetServer server, Collection<FleetServer> servers, GenerationSize size) {
+    private double slowdownCost(
+            FleetServer server, Collection<FleetServer> servers, GenerationSize size, int requests) {
         double excess = intervals.slowdownFactor(server.id(), servers) - 1;
-        return excess * (isLong(size) ? LONG_SLOWDOWN_COST_MILLIS : SHORT_SLOWDOWN_COST_MILLIS);
+        if (excess <= 0) {
+            return 0;
+        }
+        double own = isLong(size) ? LONG_SLOWDOWN_COST_MILLIS : SHORT_SLOWDOWN_COST_MILLIS;
+        return excess * (own + DISTURBANCE_COST_MILLIS * requests);
     }
 
     /**
--- a/core/src/test/java/io/hornbeamscale/core/placement/GenerationPlacementTest.java
+++ b/core/src/test/java/io/hornbeamscale/core/placement/GenerationPlacementTest.java
@@ -109,6 +109,28 @@
             assertEquals("b", choose(LONG, server("a", "z1"), server("b", "z1")));
         }
 
+        /** Every prompt on a slow server made the streams that ran there late; a fast server reads it in time. */
+        @Test
+        void keepsPromptsAwayFromSlowServersWithRunningStreams() {
+            intervals.workTimeStated("a", 130);
+            intervals.workTimeStated("b", 100);
+            fill("a", 4, 15_000, 0);
+            fill("b", 4, 15_000, 4_000);
+            assertEquals("b", choose(SHORT, server("a", "z1"), server("b", "z1")));
+        }
+
+        /** Load: fast servers are full at a crest; the emptier slow server has fewer streams to disturb. */
+        @Test
+        void usesTheEmptierSlowServerIfFastOnesAreFull() {
+            intervals.workTimeStated("a", 130);
+            intervals.workTimeStated("b", 100);
+            intervals.workTimeStated("c", 130);
+            fill("a", 4, 15_000, 0);
+            fill("b", 24, 40_000, 0);
+            fill("c", 2, 15_000, 1_400);
+            assertEquals("c", choose(LONG, server("a", "z1"), server("b", "z1"), server("c", "z1")));
+        }
+
         @Test
         void countsWhatOtherEntriesPlaced() {
             loads.peerReported("peer", Map.of("a", new ServerLoad(4, 12_000, 9_000)), 0);
