--- a/gateway/src/main/java/io/hornbeamscale/gateway/StreamCandidates.java
+++ b/gateway/src/main/java/io/hornbeamscale/gateway/StreamCandidates.java
@@ -111,10 +111,10 @@
 
     /** Returns a server that holds a backup copy if it may continue the stream, now or after a wait. */
     Optional<FleetServer> usable(Optional<FleetServer> backup, long nowMillis) {
-        return backup.flatMap(b -> traffic.server(b.id()))
-                .filter(b -> traffic.eligibility()
-                        .check(b, terms().uncounted(), nowMillis)
-                        .isAllowed());
+        return backup.flatMap(b -> traffic.server(b.id())).filter(b -> {
+            Verdict verdict = traffic.eligibility().check(b, terms().uncounted(), nowMillis);
+            return verdict.isAllowed() || verdict.isDeferred();
+        });
     }
 
     /** Returns whether some server takes the stream as soon as it has room, or at a later time. */
