--- a/gateway/src/main/java/io/hornbeamscale/gateway/TrafficState.java
+++ b/gateway/src/main/java/io/hornbeamscale/gateway/TrafficState.java
@@ -5,9 +5,9 @@
 import io.hornbeamscale.core.admission.RepeatDetector;
 import io.hornbeamscale.core.blackboard.Blackboard;
 import io.hornbeamscale.core.eligibility.ServerEligibility;
+import io.hornbeamscale.core.fleet.Endpoint;
 import io.hornbeamscale.core.fleet.FleetServer;
 import io.hornbeamscale.core.fleet.FleetSnapshot;
-import io.hornbeamscale.core.fleet.ServerRegistration;
 import io.hornbeamscale.core.hedge.HedgeBudget;
 import io.hornbeamscale.core.hedge.HedgeCandidates;
 import io.hornbeamscale.core.hedge.HedgeDecision;
@@ -83,7 +83,7 @@
     private final AdmissionQueue<StreamRelay> waitingStreams;
     private final RepeatDetector repeatDetector = new RepeatDetector();
     private final QueuedDemand queuedDemand = new QueuedDemand();
-    private final Map<String, ServerRegistration> known = new HashMap<>();
+    private final Map<String, Endpoint> knownAddresses = new HashMap<>();
     private CrashDetector crashDetector;
     private Runnable statusSender = () -> {};
     private Consumer<FleetServer> leavingListener = server -> {};
@@ -429,20 +429,17 @@
         FleetSnapshot fleet = fleet();
         eligibility.setEvacuatedZones(fleet.evacuatedZones());
         for (FleetServer server : fleet.all()) {
-            ServerRegistration before = known.put(server.id(), server.registration());
-            if (before != null && !before.isSameIncarnation(server.registration())) {
-                // What the previous incarnation asked for, such as a pause, does not bind the new one.
-                eligibility.forget(server.id());
-            }
-            if (before != null && !before.address().equals(server.registration().address())) {
-                client.closeIdleConnections(before.address());
+            Endpoint before =
+                    knownAddresses.put(server.id(), server.registration().address());
+            if (before != null && !before.equals(server.registration().address())) {
+                client.closeIdleConnections(before);
                 health.forget(server.id());
             }
             if (eligibility.isLeaving(server)) {
                 client.closeIdleConnections(server.registration().address());
             }
         }
-        known.keySet().removeIf(id -> {
+        knownAddresses.keySet().removeIf(id -> {
             boolean isGone = fleet.server(id).isEmpty();
             if (isGone) {
                 health.forget(id);
