Keep the rate of cold servers within the limits of the settings

Cause: the limits coldOverage and coldSlack of the settings were read nowhere; the shares kept the usual values of 1.5 and 5 only, so a stricter deployment would have been exceeded. Change: ColdLimits derives the rate that the entries divide from both; missing or negative values have the usual defaults.

--- a/core/src/main/java/io/hornbeamscale/core/limit/RateShares.java
+++ b/core/src/main/java/io/hornbeamscale/core/limit/RateShares.java
@@ -17,13 +17,13 @@
      * The number of entries that share a rate, besides those for its requests per second. Each of them may send one
      * request at any time after a pause, so the number bounds the excess over the rate.
      */
-    private static final int EXTRA_SHARERS = 4;
+    static final int EXTRA_SHARERS = 4;
 
     /**
      * The sum of the shares of the entries that share a rate, as a multiple of it. Their demand differs, so that not
      * every one uses its whole share.
      */
-    private static final double SHARES_SUM = 1.25;
+    static final double SHARES_SUM = 1.25;
 
     /** The share of a rate that all other entries use together, so that they notice its end. */
     private static final double PROBING_SHARE = 0.05;
--- a/daemon/src/main/java/io/hornbeamscale/daemon/CdsTrainingRun.java
+++ b/daemon/src/main/java/io/hornbeamscale/daemon/CdsTrainingRun.java
@@ -2,6 +2,7 @@
 
 import io.hornbeamscale.core.fleet.Endpoint;
 import io.hornbeamscale.core.hedge.HedgePolicy;
+import io.hornbeamscale.core.limit.ColdLimits;
 import io.hornbeamscale.gateway.Gateway;
 import io.hornbeamscale.gateway.GatewaySettings;
 import io.hornbeamscale.gateway.ProcessLimits;
@@ -49,6 +50,7 @@
                     0.1,
                     1_000,
                     1,
+                    ColdLimits.DEFAULT,
                     HedgePolicy.OFF);
             Gateway gateway = new Gateway(
                     settings,
--- a/gateway/src/main/java/io/hornbeamscale/gateway/GatewaySettings.java
+++ b/gateway/src/main/java/io/hornbeamscale/gateway/GatewaySettings.java
@@ -3,6 +3,7 @@
 import io.hornbeamscale.core.fleet.Endpoint;
 import io.hornbeamscale.core.hedge.HedgePolicy;
 import io.hornbeamscale.core.limit.ClientLimits;
+import io.hornbeamscale.core.limit.ColdLimits;
 import java.util.Map;
 import java.util.Optional;
 
@@ -24,6 +25,7 @@
  * @param repeatRatio the repeated sends allowed per request
  * @param repeatWindowMillis the length of the window in which repeated sends are counted, in milliseconds
  * @param repeatSlack the repeated sends that all entries together may add in a window
+ * @param coldLimits how many requests a cold server may get
  * @param hedging whether and how much to hedge slow requests
  */
 public record GatewaySettings(
@@ -42,6 +44,7 @@
         double repeatRatio,
         long repeatWindowMillis,
         double repeatSlack,
+        ColdLimits coldLimits,
         HedgePolicy hedging) {
     /** Copies the map. */
     public GatewaySettings {
@@ -74,6 +77,7 @@
                 repeatRatio,
                 repeatWindowMillis,
                 repeatSlack,
+                coldLimits,
                 hedging);
     }
 
@@ -100,6 +104,7 @@
                 repeatRatio,
                 repeatWindowMillis,
                 repeatSlack,
+                coldLimits,
                 policy);
     }
 }
--- a/gateway/src/main/java/io/hornbeamscale/gateway/TrafficState.java
+++ b/gateway/src/main/java/io/hornbeamscale/gateway/TrafficState.java
@@ -21,7 +21,6 @@
 import io.hornbeamscale.core.placement.PlainPlacement;
 import io.hornbeamscale.core.placement.QueuedDemand;
 import io.hornbeamscale.core.placement.ServerLoad;
-import io.hornbeamscale.core.route.RoutedService;
 import java.util.HashMap;
 import java.util.LinkedHashSet;
 import java.util.List;
@@ -219,7 +218,7 @@
         return blackboard
                 .get(Gateway.DOCUMENT)
                 .flatMap(document -> document.service(service))
-                .map(RoutedService::coldRequestsPerSecond)
+                .map(s -> settings.coldLimits().sendRate(s.coldRequestsPerSecond()))
                 .orElse(0.0);
     }
 
