--- a/core/src/main/java/io/hornbeamscale/core/placement/GenerationPlacement.java
+++ b/core/src/main/java/io/hornbeamscale/core/placement/GenerationPlacement.java
@@ -86,11 +86,11 @@
     private static final double SLOW_START_COST_MILLIS = 2_000;
 
     /**
-     * The cost for a long response of a server that takes twice as long per event as the fastest, in milliseconds.
-     * While a server that takes 1.3 times as long reads a prompt and has a noisy neighbor, the gaps of all its streams
-     * exceed their objective, so long responses go there only if no faster server has room.
+     * The cost for a long response of a server that takes twice as long per event as the fastest, in milliseconds. A
+     * server that takes 1.3 times as long costs as much as a full queue of prompts elsewhere. A cost three times as
+     * high filled the faster servers until they interrupted running responses.
      */
-    private static final double LONG_SLOWDOWN_COST_MILLIS = 10_000;
+    private static final double LONG_SLOWDOWN_COST_MILLIS = 3_000;
 
     /** The same cost for a short response, which has few gaps. */
     private static final double SHORT_SLOWDOWN_COST_MILLIS = 150;
