--- a/review/stand-ins-2/Store.java
+++ b/review/stand-ins-2/Store.java
@@ -24,6 +24,7 @@
     static final ObjectMapper JSON = new ObjectMapper();
     private static final long HISTORY_MS = 20_000;
     private static final int PAGE_ITEMS = 500;
+    private static final int CUT = -1;
 
     private final TreeMap<String, Item> items = new TreeMap<>();
     private final ArrayDeque<Event> history = new ArrayDeque<>();
@@ -49,6 +50,8 @@
         /** The rate at which answers reach the machine, in bytes per millisecond; 0 for no limit. */
         volatile long bytesPerMs;
 
+        private volatile int cuts;
+
         /** When the machine last renewed a lease. */
         volatile long renewedAtMs;
 
@@ -64,6 +67,14 @@
             return server.address();
         }
 
+        /** Cuts the watch that is waiting, as the store may: its connection is closed without an answer. */
+        void cutWaitingWatch() {
+            cuts++;
+            synchronized (Store.this) {
+                Store.this.notifyAll();
+            }
+        }
+
         /** Lets the open connections go silent for good, without a reset; new ones work. */
         void silenceOpenConnections() {
             silent.addAll(open);
@@ -90,6 +101,10 @@
             }
             ObjectNode reply = JSON.createObjectNode();
             int status = answer(request, reply, this);
+            if (status == CUT) {
+                Record.line("the store cuts a waiting watch");
+                return false;
+            }
             sleep(delayMs);
             if (silent.contains(c)) {
                 sleep(100_000);
@@ -281,6 +296,7 @@
         long after = Long.parseLong(query.get("after"));
         String prefix = query.getOrDefault("prefix", "");
         long until = now() + Long.parseLong(query.getOrDefault("waitMs", "0"));
+        int cuts = door.cuts;
         while (true) {
             if (after < historyFrom) {
                 return 410;
@@ -295,6 +311,9 @@
                     }
                 }
             }
+            if (door.cuts != cuts) {
+                return CUT;
+            }
             long left = until - now();
             if (!events.isEmpty() || left <= 0) {
                 reply.set("events", events);
