--- a/review/stand-ins-2/ClockBack.java
+++ b/review/stand-ins-2/ClockBack.java
@@ -5,8 +5,8 @@
     private static final long DRAIN_MS = 4_000;
     private static final long STABLE_WINDOW_MS = 5_000;
 
-    /** The greatest jump of clock_step in the site files, in milliseconds. */
-    private static final long CLOCK_JUMP_MS = 2_400;
+    /** The jump of clock_step that the kinds of the site name, in milliseconds. */
+    private static final long CLOCK_JUMP_MS = 2_000;
 
     public static void main(String[] args) {
         Setup.main(args[0], ClockBack::run);
--- a/review/stand-ins-2/StillAtWork.java
+++ b/review/stand-ins-2/StillAtWork.java
@@ -3,7 +3,7 @@
 import java.util.List;
 import java.util.Map;
 
-/** Streams leave a runner that drains; it does not drop a request when its connection closes. */
+/** Streams leave a runner that drains; unlike the others, it does not drop a request when its connection closes. */
 public final class StillAtWork {
     private static final long STABLE_WINDOW_MS = 4_000;
 
@@ -26,7 +26,7 @@
                         .toString());
         List<Engine> engines = new ArrayList<>();
         for (int i = 1; i <= 3; i++) {
-            engines.add(new Engine(setup.store, "i-" + i, "storyteller", "z1", false));
+            engines.add(new Engine(setup.store, "i-" + i, "storyteller", "z1", i != 1));
         }
         setup.gateway("z1");
         setup.gateway("z2");
@@ -43,17 +43,15 @@
             Store.sleep(100);
         }
         Store.sleep(2_000);
-        Engine busiest = engines.get(0);
-        for (Engine each : engines) {
-            if (count(each) > count(busiest)) {
-                busiest = each;
-            }
+        Engine leaving = engines.get(0);
+        Record.line("%s, which does not drop requests, runs %d streams", leaving.id, count(leaving));
+        if (count(leaving) == 0) {
+            return Setup.NOT_RUN;
         }
-        Record.line("%s runs %d streams", busiest.id, count(busiest));
         if (setup.hasTrouble) {
-            busiest.state = "draining";
-            busiest.report();
-            Record.line("the store has accepted that %s is draining", busiest.id);
+            leaving.state = "draining";
+            leaving.report();
+            Record.line("the store has accepted that %s is draining", leaving.id);
         }
         for (Thread each : callers) {
             each.join();
