--- a/review/stand-ins-2/Http.java
+++ b/review/stand-ins-2/Http.java
@@ -10,8 +10,6 @@
 import java.net.ServerSocket;
 import java.net.Socket;
 import java.nio.charset.StandardCharsets;
-import java.util.ArrayList;
-import java.util.List;
 import java.util.Locale;
 import java.util.Map;
 import java.util.Set;
@@ -242,8 +240,4 @@
         out.write(all.toByteArray());
         out.flush();
     }
-
-    static List<String> list(String... all) {
-        return new ArrayList<>(List.of(all));
-    }
 }
