Review: the scripts name TROUBLE and record.txt, take free ports, and keep status 1 for a broken rule

Cause: run.sh left both to the shared classes; the ports were fixed; an Error in a script ended with status 1 and a time limit with 124.

--- a/review/stand-ins-2/ClockBack.java
+++ b/review/stand-ins-2/ClockBack.java
@@ -9,7 +9,7 @@
     private static final long CLOCK_JUMP_MS = 2_000;
 
     public static void main(String[] args) {
-        Setup.main(args[0], ClockBack::run);
+        Setup.main(args, ClockBack::run);
     }
 
     private static int run(Setup setup) throws Exception {
--- a/review/stand-ins-2/CutWatch.java
+++ b/review/stand-ins-2/CutWatch.java
@@ -11,7 +11,7 @@
     private static final long LINGER_MS = 6_000;
 
     public static void main(String[] args) {
-        Setup.main(args[0], CutWatch::run);
+        Setup.main(args, CutWatch::run);
     }
 
     private static int run(Setup setup) throws Exception {
--- a/review/stand-ins-2/Gateway.java
+++ b/review/stand-ins-2/Gateway.java
@@ -1,5 +1,7 @@
 import java.io.File;
 import java.io.IOException;
+import java.net.InetAddress;
+import java.net.ServerSocket;
 import java.nio.file.Files;
 import java.nio.file.Path;
 import java.util.ArrayList;
@@ -13,6 +15,8 @@
 
     final String name;
     final String ip;
+    final int frontPort;
+    final int internalPort;
     final String front;
     final String readiness;
     final Store.Door door;
@@ -32,18 +36,34 @@
         this.name = name;
         this.ip = ip;
         this.door = door;
-        this.front = ip + ":8740";
-        this.readiness = ip + ":8749";
+        this.frontPort = freePort(ip);
+        this.front = ip + ":" + frontPort;
+        this.readiness = ip + ":" + freePort(ip);
+        this.internalPort = freePort(ip);
         this.settings = folder.resolve(name + ".json");
         this.log = folder.resolve(name + ".log");
-        Files.writeString(settings, settings(name, ip, zone, door.address(), bounds));
+        Files.writeString(settings, settings(name, ip, zone, door.address(), bounds, front, readiness, internalPort));
     }
 
-    private static String settings(String name, String ip, String zone, String store, String bounds) {
+    private static int freePort(String ip) throws IOException {
+        try (ServerSocket socket = new ServerSocket(0, 1, InetAddress.getByName(ip))) {
+            return socket.getLocalPort();
+        }
+    }
+
+    private static String settings(
+            String name,
+            String ip,
+            String zone,
+            String store,
+            String bounds,
+            String front,
+            String readiness,
+            int internalPort) {
         return ("""
                 {"nodeName":"%s","role":"gateway","machineClass":"edge","serves":["edge"],"ip":"%s","zone":"%s",
                 "region":"r1","zones":{"z1":"r1","z2":"r1","z3":"r1"},
-                "listen":{"front":"%s:8740","readiness":"%s:8749"},"internalPorts":[7200,7215],"seedNodes":[],
+                "listen":{"front":"%s","readiness":"%s"},"internalPorts":[%d,%d],"seedNodes":[],
                 "bootstrap":true,"countsAsLoss":false,
                 "limits":{"cpuShare":0.57,"cpuCores":1,"memoryMb":280,"maxFds":4100,"linkMbps":1000.0,"diskMb":0},
                 "dataDir":null,"discovery":"platform","entry":"vip","heartbeatMs":1200,
@@ -53,7 +73,7 @@
                 "platform":{"address":"%s","form":"kv","writesPerS":400,"readsPerS":2000,"historyS":20,
                 "valueBytes":1048576,"minTtlMs":1000}}
                 """)
-                .formatted(name, ip, zone, ip, ip, bounds, store);
+                .formatted(name, ip, zone, front, readiness, internalPort, internalPort + 15, bounds, store);
     }
 
     /** Starts the process with the command of the deploy file. */
--- a/review/stand-ins-2/HangUp.java
+++ b/review/stand-ins-2/HangUp.java
@@ -3,7 +3,7 @@
     private static final int[] AFTER_START_MS = {50, 200, 400, 600, 1_000, 2_000};
 
     public static void main(String[] args) {
-        Setup.main(args[0], HangUp::run);
+        Setup.main(args, HangUp::run);
     }
 
     private static int run(Setup setup) throws Exception {
--- a/review/stand-ins-2/LargeManifest.java
+++ b/review/stand-ins-2/LargeManifest.java
@@ -19,7 +19,7 @@
     private static final long GAP_MS = 80;
 
     public static void main(String[] args) {
-        Setup.main(args[0], LargeManifest::run);
+        Setup.main(args, LargeManifest::run);
     }
 
     private static String manifest(int version, boolean hasOldKey) {
--- a/review/stand-ins-2/Record.java
+++ b/review/stand-ins-2/Record.java
@@ -10,8 +10,8 @@
 
     private Record() {}
 
-    static void open(String folder) throws IOException {
-        out = new PrintStream(Path.of(folder, "record.txt").toFile(), "UTF-8");
+    static void open(String file) throws IOException {
+        out = new PrintStream(Path.of(file).toFile(), "UTF-8");
     }
 
     static synchronized void line(String format, Object... values) {
--- a/review/stand-ins-2/RequestersLeave.java
+++ b/review/stand-ins-2/RequestersLeave.java
@@ -20,7 +20,7 @@
     private static final int STREAMS = 12;
 
     public static void main(String[] args) {
-        Setup.main(args[0], RequestersLeave::run);
+        Setup.main(args, RequestersLeave::run);
     }
 
     private static int run(Setup setup) throws Exception {
@@ -91,7 +91,7 @@
             return;
         }
         try (Socket socket = new Socket()) {
-            socket.connect(new InetSocketAddress(gateway.ip, 8740), 1_000);
+            socket.connect(new InetSocketAddress(gateway.ip, gateway.frontPort), 1_000);
             Http.send(socket.getOutputStream(), "POST", "/tale/x", headers, "a prompt".getBytes());
             Store.sleep(PATIENCE_MS);
         } catch (IOException e) {
--- a/review/stand-ins-2/Setup.java
+++ b/review/stand-ins-2/Setup.java
@@ -1,4 +1,6 @@
 import java.io.IOException;
+import java.net.InetAddress;
+import java.net.ServerSocket;
 import java.nio.file.Files;
 import java.nio.file.Path;
 import java.util.ArrayList;
@@ -25,6 +27,9 @@
             "revokeMs":5000,"retryBudget":0.2,"budgetWindowS":10,"retrySlack":54,"recoveryS":12,"passMs":400,
             "reuseWindowS":4.3}""";
 
+    private static final int METRICS_PORT = 9_464;
+    private static final int MAX_TRIES = 20;
+
     static final int BROKEN = 1;
     static final int HELD = 0;
     static final int NOT_RUN = 2;
@@ -33,28 +38,53 @@
     final Path folder;
     final Store store = new Store();
     final List<Gateway> gateways = new ArrayList<>();
-    final boolean hasTrouble = !"0".equals(System.getenv("TROUBLE"));
+    final boolean hasTrouble;
     String bounds = SMALL_BOUNDS;
-    private final int net = 1 + new SplittableRandom().nextInt(200);
+    private final int net = freeNet();
 
-    Setup() throws IOException {
+    Setup(boolean hasTrouble) throws IOException {
+        this.hasTrouble = hasTrouble;
         folder = Files.createTempDirectory("review-2-");
     }
 
+    /** Returns a part of the loopback range in which the metrics port of the deploy file's command is free. */
+    private static int freeNet() {
+        SplittableRandom random = new SplittableRandom();
+        for (int i = 0; i < MAX_TRIES; i++) {
+            int found = 1 + random.nextInt(200);
+            try (ServerSocket socket = new ServerSocket(METRICS_PORT, 1, InetAddress.getByName(ip(found, 1)))) {
+                return found;
+            } catch (IOException e) {
+                Record.line("%s:%d is in use", ip(found, 1), METRICS_PORT);
+            }
+        }
+        throw new IllegalStateException("the metrics port is in use on every address tried");
+    }
+
+    private static String ip(int net, int number) {
+        return "127." + (20 + net) + ".1." + number;
+    }
+
     interface Body {
         int run(Setup setup) throws Exception;
     }
 
-    /** Runs a case and ends the process with its result. */
-    static void main(String recordFolder, Body body) {
+    /**
+     * Runs a case and ends the process with its result.
+     *
+     * @param args the path of record.txt, and 0 to leave out the disruption
+     */
+    static void main(String[] args, Body body) {
         int result = NOT_RUN;
         Setup setup = null;
         try {
-            Record.open(recordFolder);
-            setup = new Setup();
+            Record.open(args[0]);
+            setup = new Setup(args.length < 2 || !args[1].equals("0"));
             Runtime.getRuntime().addShutdownHook(new Thread(Gateway::killAll));
             result = body.run(setup);
-        } catch (Exception e) {
+        } catch (Throwable e) {
+            // Also an Error: the exit status 1 is kept for a broken rule.
+            result = NOT_RUN;
             Record.line("the case could not run: %s", e);
             e.printStackTrace();
         } finally {
@@ -73,7 +103,7 @@
     Gateway gateway(String zone) throws IOException {
         int n = gateways.size() + 1;
         Gateway added = new Gateway(
-                root, folder, "edge-" + n, "127." + (20 + net) + ".1." + n, zone, store.new Door("127.0.0.1"), bounds);
+                root, folder, "edge-" + n, ip(net, n), zone, store.new Door("127.0.0.1"), bounds);
         gateways.add(added);
         return added;
     }
--- a/review/stand-ins-2/SilentStore.java
+++ b/review/stand-ins-2/SilentStore.java
@@ -6,7 +6,7 @@
     private static final long CONFIG_APPLY_MS = 3_000;
 
     public static void main(String[] args) {
-        Setup.main(args[0], SilentStore::run);
+        Setup.main(args, SilentStore::run);
     }
 
     private static String manifest(int version) {
--- a/review/stand-ins-2/StillAtWork.java
+++ b/review/stand-ins-2/StillAtWork.java
@@ -13,7 +13,7 @@
     private static final int STREAMS = 6;
 
     public static void main(String[] args) {
-        Setup.main(args[0], StillAtWork::run);
+        Setup.main(args, StillAtWork::run);
     }
 
     private static int run(Setup setup) throws Exception {
