--- a/review/stand-ins-2/ClockBack.java
+++ b/review/stand-ins-2/ClockBack.java
@@ -8,6 +8,11 @@
     /** The jump of clock_step that the kinds of the site name, in milliseconds. */
     private static final long CLOCK_JUMP_MS = 2_000;
 
+    /** Enough callers and work that both runners get requests. */
+    private static final int CALLERS_PER_GATEWAY = 3;
+
+    private static final long WORK_MS = 40;
+
     public static void main(String[] args) {
         Setup.main(args, ClockBack::run);
     }
@@ -22,6 +27,7 @@
                         .route("seat-booking", "/book/", "non_idempotent", "box-office", 1_000, 1)
                         .toString());
         Runner other = new Runner(setup.store, "i-other", "box-office", "z1", "127.0.0.1", 0, System.currentTimeMillis());
+        other.workMs = WORK_MS;
         other.beat();
         setup.gateway("z1");
         setup.gateway("z2");
@@ -41,14 +47,15 @@
         Record.line("the clock of the runner's machine is right again");
         Runner second =
                 new Runner(setup.store, "i-case", "box-office", "z1", "127.0.0.1", port, System.currentTimeMillis());
+        second.workMs = WORK_MS;
         second.beat();
         Record.line("runner i-case starts again, born %d", second.born);
         Store.sleep(2 * STABLE_WINDOW_MS);
 
         AtomicBoolean isOver = new AtomicBoolean();
-        Thread[] callers = new Thread[setup.gateways.size()];
+        Thread[] callers = new Thread[CALLERS_PER_GATEWAY * setup.gateways.size()];
         for (int i = 0; i < callers.length; i++) {
-            Gateway gateway = setup.gateways.get(i);
+            Gateway gateway = setup.gateways.get(i % setup.gateways.size());
             callers[i] = new Thread(() -> {
                 while (!isOver.get()) {
                     Caller.call(gateway.front, "POST", "/book/seat", "key-1", Caller.id(), 1_000);
