Move the hand-over of streams into a class of its own

Change: StreamHandOver holds the copy in progress, the attempt at the second server and the end of the run at the first one. No change of behaviour is meant.

--- a/gateway/src/main/java/io/hornbeamscale/gateway/StreamMove.java
+++ b/gateway/src/main/java/io/hornbeamscale/gateway/StreamMove.java
@@ -32,6 +32,7 @@
     private static final int MAX_TRIES = 30;
 
     private final StreamRelay relay;
+    private final StreamHandOver handOver;
     private final StreamAttempt source;
     private final Set<String> refused = new HashSet<>();
     private FleetServer target;
@@ -41,8 +42,9 @@
     private int tries;
     private boolean isEnded;
 
-    StreamMove(StreamRelay relay, StreamAttempt source) {
+    StreamMove(StreamRelay relay, StreamHandOver handOver, StreamAttempt source) {
         this.relay = relay;
+        this.handOver = handOver;
         this.source = source;
         excludeSource();
     }
@@ -126,7 +128,7 @@
                 FleetServer to = target;
                 end();
                 Endpoint owner = source.server().registration().address();
-                relay.handOver(to, owner, handle.orElseThrow());
+                handOver.begin(to, owner, handle.orElseThrow());
             }
             case NO_ROOM -> {
                 refused.add(target.id());
@@ -182,6 +184,6 @@
     private void end() {
         isEnded = true;
         release();
-        relay.moveEnded();
+        handOver.moveEnded();
     }
 }
--- a/gateway/src/main/java/io/hornbeamscale/gateway/StreamRelay.java
+++ b/gateway/src/main/java/io/hornbeamscale/gateway/StreamRelay.java
@@ -2,10 +2,7 @@
 
 import io.hornbeamscale.core.admission.AdmissionRequest;
 import io.hornbeamscale.core.admission.RepeatDetector;
-import io.hornbeamscale.core.eligibility.IneligibleReason;
-import io.hornbeamscale.core.eligibility.Verdict;
 import io.hornbeamscale.core.error.ErrorKind;
-import io.hornbeamscale.core.fleet.Endpoint;
 import io.hornbeamscale.core.fleet.FleetServer;
 import io.hornbeamscale.core.placement.GenerationSize;
 import io.hornbeamscale.core.route.EngineSpec;
@@ -26,26 +23,16 @@
 
     private static final long RETRY_AFTER_MILLIS = 600;
 
-    /**
-     * How long the second server may take to continue the stream, in milliseconds; callers give up after about 6,000.
-     */
-    private static final long HAND_OVER_TIMEOUT_MILLIS = 4_000;
-
-    /** How long a broken stream may wait for the limit of the server with its backup, in milliseconds. */
-    private static final long MAX_CONTINUATION_WAIT_MILLIS = 1_500;
-
     private final GenerationSize size;
     private final StreamCandidates candidates;
     private final RepeatDetector.Key identity;
     private final AdmissionRequest admission;
+    private final StreamHandOver handOver = new StreamHandOver(this);
     private int sends;
     private StreamAttempt current;
-    private StreamAttempt next;
-    private StreamMove move;
     private boolean hasRun;
     private final EventTimes times = new EventTimes();
     private long lastId;
-    private int handOvers;
 
     StreamRelay(TrafficState traffic, HttpServerExchange exchange, RelayRequest request) {
         super(traffic, exchange, request);
@@ -65,12 +52,7 @@
 
     @Override
     void cancelAttempts() {
-        if (move != null) {
-            move.abandon();
-        }
-        if (next != null) {
-            next.cancel();
-        }
+        handOver.cancel();
         if (current != null) {
             current.cancel();
         }
@@ -83,7 +65,7 @@
 
     @Override
     void fleetChanged() {
-        moveIfServerLeaves();
+        handOver.moveIfServerLeaves();
     }
 
     @Override
@@ -139,6 +121,16 @@
                 : Optional.of(current.server().id());
     }
 
+    /** Returns the attempt whose events the caller receives, null before the first one. */
+    StreamAttempt current() {
+        return current;
+    }
+
+    /** Returns the id of the last event that the caller has, 0 if it has none. */
+    long lastId() {
+        return lastId;
+    }
+
     StreamCandidates candidates() {
         return candidates;
     }
@@ -151,44 +143,11 @@
         return size;
     }
 
-    /**
-     * Continues the stream at another server from a copy of its state. The first server runs until the response of the
-     * second one starts, and is stopped then.
-     */
-    void handOver(FleetServer to, Endpoint owner, String handle) {
-        if (isEnded()) {
-            return;
-        }
-        long now = ControlLoop.now();
-        Verdict verdict = candidates.checkReserved(to.id(), now);
-        if (!verdict.isAllowed()) {
-            continueElsewhere("server " + to.id() + " must not get the stream: "
-                    + verdict.reason().map(IneligibleReason::code).orElse(""));
-            return;
-        }
-        handOvers++;
-        traffic().repeats().forceRetry(request().service().name(), now);
-        Optional<String> last = lastId > 0 ? Optional.of(Long.toString(lastId)) : Optional.empty();
-        StreamAttempt attempt = new StreamAttempt(
-                this,
-                to,
-                Optional.of(new BackendRequestFields.Continuation(owner, handle, last)),
-                candidates.backupFor(to, now),
-                lastId);
-        next = attempt;
-        attempt.begin(now);
-        after(HAND_OVER_TIMEOUT_MILLIS, () -> {
-            if (next == attempt) {
-                failAsLost("server " + to.id() + " did not continue the stream in time");
-            }
-        });
-    }
-
     /** Handles a refusal: the server has not run the request. */
     void notRun(StreamAttempt from, String why) {
         candidates.refused(from.server().id());
-        if (from == next) {
-            handOverFailed(from, why);
+        if (handOver.isNext(from)) {
+            handOver.failed(from, why);
             return;
         }
         long now = ControlLoop.now();
@@ -205,8 +164,8 @@
 
     /** Handles a failed connect: the server has not received the request. */
     void notSent(StreamAttempt from, String why) {
-        if (from == next) {
-            handOverFailed(from, why);
+        if (handOver.isNext(from)) {
+            handOver.failed(from, why);
             return;
         }
         traffic().log().repeated(request(), from.server(), why);
@@ -222,13 +181,11 @@
     /** Handles the head of a successful response. */
     void accepted(StreamAttempt from, int status, HeaderMap headers) {
         hasRun = true;
-        if (from == next) {
-            next = null;
+        if (handOver.isNext(from)) {
             StreamAttempt previous = current;
-            previous.cancel();
             current = from;
             current.skipTo(lastId);
-            stopRun(previous, from);
+            handOver.accepted(previous);
         }
         if (!response().isStarted()) {
             startForwarding(status, headers);
@@ -244,7 +201,7 @@
         response().write(events);
         recordEvent();
         if (isFirstOfAttempt) {
-            moveIfServerLeaves();
+            handOver.moveIfServerLeaves();
         }
     }
 
@@ -262,8 +219,8 @@
     /** Handles an error response of a server that may have run the request. */
     void failedAtServer(StreamAttempt from, int status, HeaderMap headers, byte[] body) {
         hasRun = true;
-        if (from == next) {
-            handOverFailed(from, "status " + status);
+        if (handOver.isNext(from)) {
+            handOver.failed(from, "status " + status);
         } else {
             forwardResponse(status, headers, body, "server " + from.server().id());
         }
@@ -272,109 +229,29 @@
     /** Handles a broken connection or a malformed response. */
     void connectionBroke(StreamAttempt from, String why) {
         hasRun = true;
-        if (from == next) {
-            // The server may have begun to continue the stream, which goes on at its first server or at a third one.
-            handOverFailed(from, why);
-            stopRun(from, current);
+        if (handOver.isNext(from)) {
+            handOver.broke(from, why);
             return;
         }
         long now = ControlLoop.now();
         traffic().crashDetector().connectionBroke(from.server(), request(), progress(from, now), now);
-        if (next != null) {
+        if (handOver.isPending()) {
             // The second server continues the stream, or its hand-over times out.
             return;
         }
-        Optional<FleetServer> copy = candidates.usable(current.backup(), ControlLoop.now());
+        Optional<FleetServer> copy = handOver.backup();
         // A stream without events may have crashed its server, and would crash the next one.
         if (copy.isPresent() && times.hasEvents()) {
             traffic().log().repeated(request(), from.server(), why);
-            continueFromBackup(copy.get());
+            handOver.continueFromBackup(copy.get());
         } else {
             failAsLost(why);
         }
     }
 
-    /** Handles the end of the move. */
-    void moveEnded() {
-        move = null;
-    }
-
     @Override
     String detail() {
-        return "events to " + lastId + ", " + times + ", hand-overs " + handOvers;
-    }
-
-    /** Makes sure that a server does not work on the stream any more, which goes on at another server. */
-    private void stopRun(StreamAttempt previous, StreamAttempt present) {
-        FleetServer server = previous.server();
-        if (engine().canMove()) {
-            Endpoint runsAt = present.server().registration().address();
-            new RunStop(traffic(), request(), server, runsAt, () -> isSentTo(server), ControlLoop.now()).proceed();
-        }
-    }
-
-    private boolean isSentTo(FleetServer server) {
-        boolean isCurrent = !current.isEnded() && current.server().id().equals(server.id());
-        return isCurrent || (next != null && next.server().id().equals(server.id()));
-    }
-
-    private void handOverFailed(StreamAttempt from, String why) {
-        next = null;
-        traffic().log().repeated(request(), from.server(), why);
-        continueElsewhere(why);
-    }
-
-    private void continueElsewhere(String why) {
-        if (current.isEnded()) {
-            failAsLost("no server can continue the stream: " + why);
-            return;
-        }
-        startMove();
-    }
-
-    private void moveIfServerLeaves() {
-        if (isEnded() || move != null || next != null || current == null || !current.hasEvents() || current.isEnded()) {
-            return;
-        }
-        boolean isLeaving = traffic()
-                .server(current.server().id())
-                .map(traffic().eligibility()::isLeaving)
-                .orElse(true);
-        if (!isLeaving) {
-            return;
-        }
-        Optional<FleetServer> copy = candidates.usable(current.backup(), ControlLoop.now());
-        boolean isAllowedNow = copy.isPresent()
-                && candidates.check(copy.get(), ControlLoop.now()).isAllowed();
-        if (isAllowedNow) {
-            continueFromBackup(copy.get());
-        } else {
-            startMove();
-        }
-    }
-
-    /** Continues the stream at the server with the backup, once that server may get a request. */
-    private void continueFromBackup(FleetServer copy) {
-        long now = ControlLoop.now();
-        long wait = candidates.check(copy, now).waitMillis(now);
-        if (wait > MAX_CONTINUATION_WAIT_MILLIS) {
-            failAsLost("server " + copy.id() + " with the backup takes no request soon enough");
-            return;
-        }
-        traffic().eligibility().reserve(copy, now);
-        Endpoint address = copy.registration().address();
-        if (wait == 0) {
-            handOver(copy, address, request().id());
-        } else {
-            after(wait, () -> handOver(copy, address, request().id()));
-        }
-    }
-
-    private void startMove() {
-        if (engine().canMove()) {
-            move = new StreamMove(this, current);
-            move.begin(ControlLoop.now());
-        }
+        return "events to " + lastId + ", " + times + ", hand-overs " + handOver.count();
     }
 
     /** Sends the request to a server that has not refused it, waits for such a server, or gives up if there is none. */
@@ -398,7 +275,7 @@
     }
 
     private ResponseProgress progress(StreamAttempt attempt, long nowMillis) {
-        boolean isContinued = handOvers > 0 && times.hasEvents();
+        boolean isContinued = handOver.count() > 0 && times.hasEvents();
         return isContinued ? ResponseProgress.ADVANCED : attempt.progress(nowMillis);
     }
 
@@ -406,7 +283,8 @@
         fail(ErrorKind.REQUEST_QUARANTINED, -1, "the request has crashed servers");
     }
 
-    private void failAsLost(String why) {
+    /** Ends a stream that no server can continue. */
+    void failAsLost(String why) {
         fail(ErrorKind.GENERATION_LOST, -1, why);
     }
 
@@ -453,7 +331,8 @@
         fail(ErrorKind.OVERLOADED, retryAfterMillis, why);
     }
 
-    private void after(long millis, Runnable task) {
+    /** Runs a task after a time, unless the request has ended by then. */
+    void after(long millis, Runnable task) {
         traffic()
                 .thread()
                 .executeAfter(
