Do not suspect a request whose engine sent a malformed response

Cause: the agent took each generation that it could not reattach for one that was lost in a crash of the engine, and reported its request as a suspect. Nothing told a lost connection from a response that the agent itself gave up.

Change: EngineCallListener.failed carries the kind of failure. A response is malformed if it exceeds a limit, or cannot be parsed while its connection is open; the generation then ends with 502, and no request is suspected. A malformed event ends its call, where a second reader was started before.

--- a/daemon/src/main/java/io/hornbeamscale/daemon/AgentDaemon.java
+++ b/daemon/src/main/java/io/hornbeamscale/daemon/AgentDaemon.java
@@ -1,7 +1,6 @@
 package io.hornbeamscale.daemon;
 
 import com.codahale.metrics.MetricRegistry;
-import com.fasterxml.jackson.databind.JsonNode;
 import io.hornbeamscale.core.agent.AgentAction;
 import io.hornbeamscale.core.agent.AgentController;
 import io.hornbeamscale.core.attempt.AttemptLedger;
@@ -27,7 +26,6 @@
 import io.hornbeamscale.core.stream.RetentionLimits;
 import io.hornbeamscale.core.work.BackendCall;
 import io.hornbeamscale.core.work.BackendStatus;
-import io.hornbeamscale.core.work.Payload;
 import io.hornbeamscale.core.work.Reservation;
 import io.hornbeamscale.daemon.control.AgentControlPlane;
 import io.hornbeamscale.daemon.control.ControlPlaneStatus;
@@ -58,8 +56,6 @@
 final class AgentDaemon implements AutoCloseable, EntryConnection.Listener {
     private static final Logger LOG = LogManager.getLogger("agent");
     private static final long LOAD_PERIOD_MILLIS = 500;
-    private static final int MAX_REATTACHES = 3;
-    private static final char TAG_SEPARATOR = '~';
 
     private final AgentSettings settings;
     private final long incarnation = Incarnations.next();
@@ -70,9 +66,8 @@
     private final ControlLoop control;
     private final FrameLoop frames;
     private final XnioWorker worker;
-    private final EngineClient engine;
+    private final BackendCalls calls;
     private final Map<NodeId, FrameConnection> entries = new HashMap<>();
-    private final Map<GenerationId, CallState> calls = new LinkedHashMap<>();
     private InetSocketAddress address;
     private InetSocketAddress adminAddress;
     private long nextStatusMillis;
@@ -110,14 +105,14 @@
                 this::apply,
                 () -> drain.begin(DrainReason.LISTED_AS_LEAVING, drainMillis));
         this.worker = XnioWorkerFactory.create("agent-io");
-        this.engine = new EngineClient(settings.server(), worker, new EngineEvents());
+        this.calls = new BackendCalls(settings, worker, control, controller, crashes, this::carryOut, this::sendStatus);
     }
 
     /** Starts the agent and returns the address that entries connect to. */
     InetSocketAddress start() {
         control.start();
         if (!settings.isPlain()) {
-            control.execute(this::recoverStreams);
+            control.execute(calls::recoverStreams);
         }
         registry.gauge("running", () -> () -> lastStatus == null ? 0 : lastStatus.running());
         registry.gauge("waiting", () -> () -> lastStatus == null ? 0 : lastStatus.waiting());
@@ -201,9 +196,7 @@
     private void endCall(AttemptId attempt, ErrorKind kind, RunOutcome outcome, long now) {
         GenerationId generation = controller.generationOf(attempt);
         if (generation != null) {
-            crashes.ended(generation, now);
-            CallState state = calls.remove(generation);
-            engine.cancel(generation, state == null ? null : state.engineId);
+            calls.cancel(generation);
             carryOut(controller.backendFailed(generation, kind, outcome, now));
         }
     }
@@ -232,80 +225,24 @@
         }
         if (!settings.isPlain() && now >= nextLoadMillis) {
             nextLoadMillis = now + LOAD_PERIOD_MILLIS;
-            engine.getJson("/load", node -> control.execute(() -> engineLoadRead(node)));
-        }
-    }
-
-    private void engineLoadRead(JsonNode node) {
-        if (node == null) {
-            return;
-        }
-        long now = ControlLoop.now();
-        carryOut(controller.load(EngineLoadReader.read(node, now), now));
-    }
-
-    /** Recovers the streams of an earlier incarnation that the engine still runs. */
-    private void recoverStreams() {
-        engine.getJson(
-                "/v1/streams",
-                node -> control.execute(() -> {
-                    long now = ControlLoop.now();
-                    if (node != null) {
-                        node.path("streams").forEach(stream -> streamFound(stream, now));
-                    }
-                    carryOut(controller.rebuildCompleted(now));
-                }));
-    }
-
-    private void streamFound(JsonNode stream, long now) {
-        String tag = stream.path("request_id").asText();
-        int split = tag.indexOf(TAG_SEPARATOR);
-        if (split < 0) {
-            return;
-        }
-        try {
-            GenerationId generation = GenerationId.parse(tag.substring(0, split));
-            if (generation.backend().equals(backend) && !calls.containsKey(generation)) {
-                calls.put(generation, new CallState(true, stream.path("id").asText()));
-                carryOut(controller.engineStreamFound(generation, new CustomerId(tag.substring(split + 1)), now));
-            }
-        } catch (IllegalArgumentException e) {
-            LOG.warn("The engine runs a stream with a malformed request id: {}.", tag);
+            calls.readLoad();
         }
     }
 
     private void carryOut(List<AgentAction> actions) {
         for (AgentAction action : actions) {
             if (action instanceof AgentAction.StartCall a) {
-                startCall(a);
+                calls.start(a);
             } else if (action instanceof AgentAction.CancelCall a) {
-                crashes.ended(a.generation(), ControlLoop.now());
-                CallState state = calls.remove(a.generation());
-                engine.cancel(a.generation(), state == null ? null : state.engineId);
+                calls.cancel(a.generation());
             } else if (action instanceof AgentAction.ReattachCall a) {
-                CallState state = calls.get(a.generation());
-                if (state != null && state.engineId != null) {
-                    engine.reattach(a.generation(), state.engineId, a.offset());
-                }
+                calls.reattach(a.generation(), a.offset());
             } else {
                 send(action);
             }
         }
     }
 
-    private void startCall(AgentAction.StartCall a) {
-        boolean isModel = !a.work().isPlain();
-        CallState state = new CallState(a.work().isRepeatable(), null);
-        state.requestTag = a.generation().toString() + TAG_SEPARATOR + a.work().customer();
-        calls.put(a.generation(), state);
-        if (isModel) {
-            crashes.started(a, ControlLoop.now());
-            engine.startGeneration(a.generation(), state.requestTag, a.call());
-        } else {
-            engine.startPlainCall(a.generation(), a.call());
-        }
-    }
-
     private void send(AgentAction action) {
         Message message = MessageConverter.toMessage(action);
         if (message != null) {
@@ -366,134 +303,4 @@
             carryOut(controller.entryConnectionLost(entry, ControlLoop.now()));
         }
     }
-
-    /** Passes the events of calls on the backend server to the control thread. */
-    private final class EngineEvents implements EngineCallListener {
-        @Override
-        public void backendNotReached(GenerationId generation) {
-            control.execute(() -> {
-                CallState state = calls.get(generation);
-                if (state != null && state.engineId != null) {
-                    reattach(generation, state, "the engine does not accept connections");
-                } else {
-                    calls.remove(generation);
-                    crashes.ended(generation, ControlLoop.now());
-                    carryOut(controller.backendNotReached(generation, ControlLoop.now()));
-                }
-            });
-        }
-
-        @Override
-        public void accepted(GenerationId generation, String engineId) {
-            control.execute(() -> {
-                CallState state = calls.get(generation);
-                if (state == null) {
-                    engine.cancel(generation, engineId);
-                } else {
-                    state.engineId = engineId;
-                }
-            });
-        }
-
-        @Override
-        public void tokens(GenerationId generation, long offset, List<String> texts) {
-            control.execute(() -> {
-                CallState state = calls.get(generation);
-                if (state != null) {
-                    state.emitted = Math.max(state.emitted, offset + texts.size());
-                    state.reattaches = 0;
-                    carryOut(controller.engineTokens(generation, offset, texts, ControlLoop.now()));
-                }
-            });
-        }
-
-        @Override
-        public void ended(GenerationId generation, long totalTokens, String finishReason) {
-            control.execute(() -> {
-                calls.remove(generation);
-                crashes.ended(generation, ControlLoop.now());
-                carryOut(controller.engineEnded(generation, totalTokens, finishReason, ControlLoop.now()));
-            });
-        }
-
-        @Override
-        public void answered(GenerationId generation, int status, Map<String, String> headers, Payload body) {
-            control.execute(() -> {
-                calls.remove(generation);
-                long now = ControlLoop.now();
-                if (EngineErrors.outcomeOf(status, headers) == RunOutcome.UNKNOWN) {
-                    LOG.warn("Call {} ended with status {}; it may have run.", generation, status);
-                    carryOut(controller.backendFailed(generation, ErrorKind.OUTCOME_UNKNOWN, RunOutcome.UNKNOWN, now));
-                    return;
-                }
-                Map<String, String> filtered = HeaderFilter.filterResponse(headers);
-                carryOut(controller.backendAnswered(generation, status, filtered, body, now));
-            });
-        }
-
-        @Override
-        public void refused(GenerationId generation, int status, Map<String, String> headers) {
-            control.execute(() -> {
-                CallState state = calls.remove(generation);
-                crashes.ended(generation, ControlLoop.now());
-                boolean isReattached = state != null && state.engineId != null;
-                RunOutcome outcome = isReattached ? RunOutcome.RAN : EngineErrors.outcomeOf(status, headers);
-                ErrorKind kind = isReattached ? ErrorKind.GENERATION_LOST : EngineErrors.kindOf(status, outcome);
-                LOG.warn("The engine rejected {} with status {}.", generation, status);
-                carryOut(controller.backendFailed(generation, kind, outcome, ControlLoop.now()));
-            });
-        }
-
-        @Override
-        public void failed(GenerationId generation, String reason) {
-            control.execute(() -> {
-                CallState state = calls.get(generation);
-                if (state == null) {
-                    return;
-                }
-                if (settings.isPlain()) {
-                    calls.remove(generation);
-                    ErrorKind kind = state.isRepeatable ? ErrorKind.BACKEND_FAILED : ErrorKind.OUTCOME_UNKNOWN;
-                    LOG.warn("Call {} failed: {}.", generation, reason);
-                    carryOut(controller.backendFailed(generation, kind, RunOutcome.UNKNOWN, ControlLoop.now()));
-                } else {
-                    reattach(generation, state, reason);
-                }
-            });
-        }
-
-        private void reattach(GenerationId generation, CallState state, String reason) {
-            state.reattaches++;
-            LOG.warn("Stream of {} failed: {}; reattach attempt {}.", generation, reason, state.reattaches);
-            if (state.reattaches > MAX_REATTACHES) {
-                generationLost(generation, state);
-            } else if (state.engineId != null) {
-                engine.reattach(generation, state.engineId, state.emitted);
-            } else {
-                engine.getJson("/v1/streams", node -> control.execute(() -> reattachByTag(generation, state, node)));
-            }
-        }
-
-        private void reattachByTag(GenerationId generation, CallState state, JsonNode node) {
-            if (node != null) {
-                for (JsonNode stream : node.path("streams")) {
-                    if (stream.path("request_id").asText().equals(state.requestTag)) {
-                        state.engineId = stream.path("id").asText();
-                        engine.reattach(generation, state.engineId, state.emitted);
-                        return;
-                    }
-                }
-            }
-            generationLost(generation, state);
-        }
-
-        private void generationLost(GenerationId generation, CallState state) {
-            calls.remove(generation);
-            // Entries must learn of the suspect requests before they retry the lost ones elsewhere.
-            crashes.generationLost(generation, ControlLoop.now(), AgentDaemon.this::sendStatus);
-            ErrorKind kind = state.emitted > 0 ? ErrorKind.GENERATION_LOST : ErrorKind.BACKEND_FAILED;
-            RunOutcome outcome = state.emitted > 0 ? RunOutcome.RAN : RunOutcome.UNKNOWN;
-            carryOut(controller.backendFailed(generation, kind, outcome, ControlLoop.now()));
-        }
-    }
 }
--- a/daemon/src/main/java/io/hornbeamscale/daemon/BackendHttpCall.java
+++ b/daemon/src/main/java/io/hornbeamscale/daemon/BackendHttpCall.java
@@ -1,6 +1,7 @@
 package io.hornbeamscale.daemon;
 
 import io.hornbeamscale.gateway.ConnectionAbort;
+import io.hornbeamscale.gateway.MalformedResponseException;
 import io.undertow.client.ClientConnection;
 import io.undertow.client.ClientResponse;
 import io.undertow.util.HeaderValues;
@@ -69,7 +70,7 @@
 
     void body(ByteBuffer bytes) {
         if (!isClosed() && !listener.body(bytes)) {
-            failed(new IOException("the response exceeds its limit"));
+            failed(new MalformedResponseException("the response is malformed or exceeds its limit"));
         }
     }
 
--- a/daemon/src/main/java/io/hornbeamscale/daemon/BackendHttpClient.java
+++ b/daemon/src/main/java/io/hornbeamscale/daemon/BackendHttpClient.java
@@ -1,5 +1,6 @@
 package io.hornbeamscale.daemon;
 
+import io.hornbeamscale.gateway.MalformedResponseException;
 import io.hornbeamscale.gateway.ServerChannel;
 import io.hornbeamscale.gateway.ServerConnector;
 import io.undertow.client.ClientCallback;
@@ -157,7 +158,7 @@
 
         @Override
         public void failed(IOException e) {
-            call.failed(e);
+            call.failed(connection.channel().isEnded() ? e : new MalformedResponseException(e));
         }
 
         private void read(StreamSourceChannel source, ByteBuffer buffer) {
@@ -210,7 +211,7 @@
 
         /**
          * Bytes of the body arrived; the buffer is valid only until the method returns. Returns whether the response is
-         * within its limits; if not, the call fails. A faulty server may send bytes without end.
+         * well formed and within its limits; if not, the call fails. A faulty server may send bytes without end.
          */
         boolean body(ByteBuffer bytes);
 
--- a/daemon/src/main/java/io/hornbeamscale/daemon/CallState.java
+++ b/daemon/src/main/java/io/hornbeamscale/daemon/CallState.java
@@ -9,6 +9,8 @@
     String engineId;
     /** The number of reattach attempts since the last token. */
     int reattaches;
+    /** Whether the last failure was a malformed response, so that the engine is faulty but has not crashed. */
+    boolean isMalformed;
     /** The number of tokens received from the engine. */
     long emitted;
 
--- a/daemon/src/main/java/io/hornbeamscale/daemon/EngineCallListener.java
+++ b/daemon/src/main/java/io/hornbeamscale/daemon/EngineCallListener.java
@@ -2,6 +2,8 @@
 
 import io.hornbeamscale.core.id.GenerationId;
 import io.hornbeamscale.core.work.Payload;
+import io.hornbeamscale.gateway.MalformedResponseException;
+import java.io.IOException;
 import java.util.List;
 import java.util.Map;
 
@@ -25,6 +27,18 @@
     /** The engine responded with an HTTP status other than 200. */
     void refused(GenerationId generation, int status, Map<String, String> headers);
 
-    /** The call failed before its end: the connection was lost or the response is malformed, cut off or too large. */
-    void failed(GenerationId generation, String reason);
+    /** The call failed before its end. */
+    void failed(GenerationId generation, Failure failure, String reason);
+
+    /** What ended a call without a complete response. */
+    enum Failure {
+        /** The connection was lost, or the response ended early: the backend server may have crashed. */
+        BROKEN_OFF,
+        /** The response is malformed or too large: the backend server still sends, so it has not crashed. */
+        MALFORMED;
+
+        static Failure of(IOException e) {
+            return e instanceof MalformedResponseException ? MALFORMED : BROKEN_OFF;
+        }
+    }
 }
--- a/daemon/src/main/java/io/hornbeamscale/daemon/EngineClient.java
+++ b/daemon/src/main/java/io/hornbeamscale/daemon/EngineClient.java
@@ -128,6 +128,7 @@
         private int status;
         private int errorBytes;
         private boolean isDone;
+        private boolean isMalformed;
 
         StreamListener(GenerationId generation) {
             this.generation = generation;
@@ -162,7 +163,7 @@
             if (isDone) {
                 listener.ended(generation, nextOffset, finishReason);
             }
-            return parser.pendingBytes() <= MAX_EVENT_BYTES;
+            return !isMalformed && parser.pendingBytes() <= MAX_EVENT_BYTES;
         }
 
         @Override
@@ -171,7 +172,8 @@
             if (status != 200) {
                 listener.refused(generation, status, headers);
             } else if (!isDone) {
-                listener.failed(generation, "the engine ended its response early");
+                listener.failed(
+                        generation, EngineCallListener.Failure.BROKEN_OFF, "the engine ended its response early");
             }
         }
 
@@ -185,13 +187,16 @@
         public void failed(IOException e) {
             openCalls.remove(generation);
             if (!isDone) {
-                listener.failed(generation, String.valueOf(e.getMessage()));
+                listener.failed(generation, EngineCallListener.Failure.of(e), String.valueOf(e.getMessage()));
             }
         }
 
         private void event(String id, String data) {
             if (data.equals("[DONE]")) {
-                isDone = true;
+                isDone = !isMalformed;
+                return;
+            }
+            if (isMalformed) {
                 return;
             }
             try {
@@ -206,7 +211,7 @@
                     finishReason = choice.path("finish_reason").asText();
                 }
             } catch (JsonProcessingException | NumberFormatException e) {
-                listener.failed(generation, "the engine sent a malformed event");
+                isMalformed = true;
             }
         }
     }
@@ -247,7 +252,7 @@
         @Override
         public void failed(IOException e) {
             openCalls.remove(generation);
-            listener.failed(generation, String.valueOf(e.getMessage()));
+            listener.failed(generation, EngineCallListener.Failure.of(e), String.valueOf(e.getMessage()));
         }
     }
 
--- a/gateway/src/main/java/io/hornbeamscale/gateway/ServerChannel.java
+++ b/gateway/src/main/java/io/hornbeamscale/gateway/ServerChannel.java
@@ -18,6 +18,7 @@
     private static final int MAX_BYTES_WITHOUT_CONTENT = 64 * 1_024;
 
     private long bytesWithoutContent;
+    private boolean isEnded;
 
     ServerChannel(StreamSourceConduit next) {
         super(next);
@@ -28,18 +29,37 @@
         bytesWithoutContent = 0;
     }
 
+    /**
+     * Returns whether the connection has ended. If not, a response that cannot be read is malformed.
+     *
+     * @return whether the server has closed the connection, or it is broken
+     */
+    public boolean isEnded() {
+        return isEnded;
+    }
+
     @Override
     public int read(ByteBuffer to) throws IOException {
-        int count = next.read(to);
+        int count = readNext(to);
         if (count > 0) {
             bytesWithoutContent += count;
             if (bytesWithoutContent > MAX_BYTES_WITHOUT_CONTENT) {
-                throw new IOException("more than " + MAX_BYTES_WITHOUT_CONTENT + " bytes without content");
+                throw new MalformedResponseException(
+                        "more than " + MAX_BYTES_WITHOUT_CONTENT + " bytes without content");
             }
         }
         return count;
     }
 
+    private int readNext(ByteBuffer to) throws IOException {
+        // A read that throws has found the connection broken.
+        boolean wasEnded = isEnded;
+        isEnded = true;
+        int count = next.read(to);
+        isEnded = wasEnded || count < 0;
+        return count;
+    }
+
     @Override
     public long read(ByteBuffer[] to, int offset, int length) throws IOException {
         for (int i = offset; i < offset + length; i++) {
