Keep a second server from working on a stream without a response

A first server whose connection had broken worked on until the response of the second one.

Cause: the head of the response was the only sign that the second server had begun.

Change: core SilentContinuation decides when a second server that has not responded is ordered to stop; an order tells at once whether it had begun. One that had is stopped, and the stream goes on at its first server and moves again. A response that arrives while an order is under way waits for its result. A first server is ordered to stop as soon as its connection breaks. A hand-over that times out ends the stream only if the first server has ended.

--- a/core/src/main/java/io/hornbeamscale/core/stream/RunTermination.java
+++ b/core/src/main/java/io/hornbeamscale/core/stream/RunTermination.java
@@ -58,7 +58,7 @@
         if (isOver) {
             return;
         }
-        isConfirmed = reply == Reply.STOPPED || reply == Reply.NOT_RUNNING;
+        isConfirmed = reply.isConfirmation();
         nextOrderAtMillis = nowMillis + pauseMillis;
         pauseMillis *= 2;
         isOver = isConfirmed || nextOrderAtMillis > closedAtMillis + LIMIT_MILLIS;
@@ -87,6 +87,15 @@
         /** The server has not carried out the order. */
         REFUSED,
         /** No response arrived, so the server may still work on the run. */
-        NO_RESPONSE
+        NO_RESPONSE;
+
+        /**
+         * Returns whether the server does not work on the run.
+         *
+         * @return whether the result says so
+         */
+        public boolean isConfirmation() {
+            return this == STOPPED || this == NOT_RUNNING;
+        }
     }
 }
--- a/gateway/src/main/java/io/hornbeamscale/gateway/BackendExchange.java
+++ b/gateway/src/main/java/io/hornbeamscale/gateway/BackendExchange.java
@@ -40,6 +40,8 @@
     private boolean isRequestWritten;
     private boolean isEnded;
     private boolean isReleasable = true;
+    private StreamSourceChannel pausedSource;
+    private boolean isPaused;
     private long serverIdleTimeoutMillis;
 
     BackendExchange(BackendClient client, Endpoint to, BackendClient.Request request, Listener listener) {
@@ -63,6 +65,19 @@
         isReleasable = false;
     }
 
+    /** Keeps the body of the response from being read until {@link #resume}. Called by the handler of the head only. */
+    void pause() {
+        isPaused = true;
+    }
+
+    /** Reads the body of a response that was paused. */
+    void resume() {
+        isPaused = false;
+        if (!isEnded && pausedSource != null) {
+            read(pausedSource);
+        }
+    }
+
     /**
      * Sets how long the server keeps an idle connection.
      *
@@ -212,6 +227,12 @@
     }
 
     private void read(StreamSourceChannel source) {
+        if (isPaused) {
+            // The HTTP client resumes reads by itself after the head.
+            source.suspendReads();
+            pausedSource = source;
+            return;
+        }
         try (PooledByteBuffer pooled = client.buffers().allocate()) {
             ByteBuffer buffer = pooled.getBuffer();
             while (!isEnded) {
--- /dev/null
+++ b/gateway/src/main/java/io/hornbeamscale/gateway/HandOverCheck.java
@@ -0,0 +1,66 @@
+package io.hornbeamscale.gateway;
+
+import io.hornbeamscale.core.stream.SilentContinuation;
+import java.util.concurrent.TimeUnit;
+import java.util.function.BooleanSupplier;
+import java.util.function.Predicate;
+
+/**
+ * Finds out whether a server that was asked to continue a stream runs it without a response, while the first server
+ * still runs it as well. All methods run on the traffic thread.
+ */
+final class HandOverCheck {
+    private final TrafficState traffic;
+    private final StopOrder order;
+    private final BooleanSupplier isOpen;
+    private final Predicate<Boolean> onResult;
+    private final SilentContinuation continuation;
+    private boolean isOrdered;
+
+    /**
+     * Creates a check that has not begun.
+     *
+     * @param order the order to the second server to stop the run
+     * @param isOpen returns whether the second server has not responded and the first one still runs the stream
+     * @param onResult receives for each order whether the second server had begun, and so was stopped; returns whether
+     *     the check goes on
+     * @param nowMillis when the second server was asked
+     */
+    HandOverCheck(
+            TrafficState traffic,
+            StopOrder order,
+            BooleanSupplier isOpen,
+            Predicate<Boolean> onResult,
+            long nowMillis) {
+        this.traffic = traffic;
+        this.order = order;
+        this.isOpen = isOpen;
+        this.onResult = onResult;
+        this.continuation = new SilentContinuation(nowMillis);
+    }
+
+    /** Schedules the next order. */
+    void proceed() {
+        long delay = continuation.orderDelayMillis(ControlLoop.now());
+        traffic.thread().executeAfter(this::order, delay, TimeUnit.MILLISECONDS);
+    }
+
+    /** Returns whether an order is under way, so that the second server may be about to stop the run. */
+    boolean isOrdered() {
+        return isOrdered;
+    }
+
+    private void order() {
+        if (!isOpen.getAsBoolean()) {
+            return;
+        }
+        isOrdered = true;
+        order.send(reply -> {
+            isOrdered = false;
+            boolean hadBegun = continuation.hadBegun(reply, ControlLoop.now());
+            if (onResult.test(hadBegun)) {
+                proceed();
+            }
+        });
+    }
+}
--- a/gateway/src/main/java/io/hornbeamscale/gateway/StreamAttempt.java
+++ b/gateway/src/main/java/io/hornbeamscale/gateway/StreamAttempt.java
@@ -184,7 +184,17 @@
             return;
         }
         relay.traffic().health().answered(server.id(), false, ControlLoop.now() - sentAtMillis);
-        relay.accepted(this, code, found);
+        if (!relay.accepted(this, code, found)) {
+            exchange.pause();
+        }
+    }
+
+    /** Goes on with a response that the relay accepts now. */
+    void resume() {
+        if (!isEnded) {
+            relay.accepted(this, status, headers);
+            exchange.resume();
+        }
     }
 
     @Override
--- a/gateway/src/main/java/io/hornbeamscale/gateway/StreamHandOver.java
+++ b/gateway/src/main/java/io/hornbeamscale/gateway/StreamHandOver.java
@@ -16,12 +16,24 @@
      */
     private static final long TIMEOUT_MILLIS = 4_000;
 
+    /**
+     * How long the response of the second server may wait for the result of an order to stop, in milliseconds; both
+     * servers work on the stream meanwhile.
+     */
+    private static final long MAX_UNDECIDED_MILLIS = 100;
+
     /** How long a broken stream may wait for the limit of the server with its backup, in milliseconds. */
     private static final long MAX_CONTINUATION_WAIT_MILLIS = 1_500;
 
     private final StreamRelay relay;
     private StreamAttempt next;
+    private boolean hasResponded;
     private StreamMove move;
+    private HandOverCheck check;
+
+    /** The last attempt whose server was ordered to stop the run. */
+    private StreamAttempt stopped;
+
     private int handOvers;
 
     StreamHandOver(StreamRelay relay) {
@@ -33,9 +45,9 @@
         return next == attempt;
     }
 
-    /** Returns whether a second server was asked to continue the stream and has not responded. */
-    boolean isPending() {
-        return next != null;
+    /** Returns the server that was asked to continue the stream and has not responded, empty for none. */
+    Optional<FleetServer> pending() {
+        return Optional.ofNullable(next).map(StreamAttempt::server);
     }
 
     /** Returns how often a second server was asked to continue the stream. */
@@ -49,7 +61,10 @@
             move.abandon();
         }
         if (next != null) {
-            next.cancel();
+            StreamAttempt second = next;
+            next = null;
+            second.cancel();
+            stopRun(second, relay.current().server());
         }
     }
 
@@ -126,20 +141,48 @@
                 relay.candidates().backupFor(to, now),
                 lastId);
         next = attempt;
+        hasResponded = false;
         attempt.begin(now);
+        beginCheck(attempt, now);
         relay.after(TIMEOUT_MILLIS, () -> {
             if (next == attempt) {
-                relay.failAsLost("server " + to.id() + " did not continue the stream in time");
+                giveUp(attempt, "server " + to.id() + " did not continue the stream in time");
             }
         });
     }
 
-    /** Handles the response of the second server, at which the stream goes on: ends the run at the first server. */
-    void accepted(StreamAttempt previous) {
-        StreamAttempt present = next;
+    /**
+     * Handles the head of the response of the second server. If an order to stop it is under way, the result decides.
+     *
+     * @return whether the stream goes on there; the caller ends the present attempt with {@link #completed}
+     */
+    boolean accept(StreamAttempt second) {
+        if (check != null && check.isOrdered() && !relay.current().isEnded()) {
+            if (!hasResponded) {
+                hasResponded = true;
+                relay.after(MAX_UNDECIDED_MILLIS, () -> endUndecided(second));
+            }
+            return false;
+        }
         next = null;
+        return true;
+    }
+
+    private void endUndecided(StreamAttempt second) {
+        if (next != second) {
+            return;
+        }
+        if (relay.current().isEnded()) {
+            second.resume();
+        } else {
+            giveUp(second, "server " + second.server().id() + " responded after it was ordered to stop");
+        }
+    }
+
+    /** Ends the run at the first server, as the stream goes on at the second one. */
+    void completed(StreamAttempt previous) {
         previous.cancel();
-        stopRun(previous, present);
+        stopRun(previous, relay.current().server());
     }
 
     /** Handles the end of the attempt at the second server without a response. */
@@ -153,7 +196,7 @@
     void broke(StreamAttempt from, String why) {
         // The server may have begun to continue the stream, which goes on at its first server or at a third one.
         failed(from, why);
-        stopRun(from, relay.current());
+        stopRun(from, relay.current().server());
     }
 
     /** Handles the end of the move. */
@@ -176,17 +219,68 @@
         }
     }
 
-    /** Makes sure that a server does not work on the stream any more, which goes on at another server. */
-    private void stopRun(StreamAttempt previous, StreamAttempt present) {
+    /** Checks that the second server does not work on the stream without a response. */
+    private void beginCheck(StreamAttempt second, long nowMillis) {
+        StreamAttempt first = relay.current();
+        if (!relay.engine().canMove()) {
+            return;
+        }
+        check = new HandOverCheck(
+                relay.traffic(),
+                stopOrder(second, first.server()),
+                () -> !relay.isEnded() && next == second && !hasResponded && !first.isEnded(),
+                hadBegun -> ordered(second, hadBegun),
+                nowMillis);
+        check.proceed();
+    }
+
+    /** Handles the result of an order to stop. Returns whether the check goes on. */
+    private boolean ordered(StreamAttempt second, boolean hadBegun) {
+        if (relay.isEnded() || next != second) {
+            return false;
+        }
+        if (hadBegun) {
+            stopped = second;
+            giveUp(second, "server " + second.server().id() + " ran the stream without a response");
+            return false;
+        }
+        if (hasResponded) {
+            second.resume();
+            return false;
+        }
+        return true;
+    }
+
+    /** Ends the attempt at the second server, which has not responded as it should. */
+    private void giveUp(StreamAttempt second, String why) {
+        if (stopped != second) {
+            // It may still get an order to stop, which would end a later continuation as well.
+            relay.candidates().refused(second.server().id());
+        }
+        second.cancel();
+        relay.connectionBroke(second, why);
+    }
+
+    /**
+     * Makes sure that a server, whose connection is closed, does not work on the stream any more.
+     *
+     * @param previous the attempt at the server
+     * @param present the server at which the stream goes on
+     */
+    void stopRun(StreamAttempt previous, FleetServer present) {
         FleetServer server = previous.server();
-        if (relay.engine().canMove()) {
-            Endpoint runsAt = present.server().registration().address();
-            RunStop stop = new RunStop(
-                    relay.traffic(), relay.request(), server, runsAt, () -> isSentTo(server), ControlLoop.now());
-            stop.proceed();
+        if (relay.engine().canMove() && stopped != previous) {
+            stopped = previous;
+            TrafficState traffic = relay.traffic();
+            new RunStop(traffic, stopOrder(previous, present), () -> isSentTo(server), ControlLoop.now()).proceed();
         }
     }
 
+    private StopOrder stopOrder(StreamAttempt attempt, FleetServer other) {
+        Endpoint copyTo = other.registration().address();
+        return new StopOrder(relay.traffic(), relay.request(), attempt.server(), copyTo);
+    }
+
     private boolean isSentTo(FleetServer server) {
         StreamAttempt current = relay.current();
         boolean isCurrent = !current.isEnded() && current.server().id().equals(server.id());
--- a/gateway/src/main/java/io/hornbeamscale/gateway/StreamRelay.java
+++ b/gateway/src/main/java/io/hornbeamscale/gateway/StreamRelay.java
@@ -52,10 +52,10 @@
 
     @Override
     void cancelAttempts() {
-        handOver.cancel();
         if (current != null) {
             current.cancel();
         }
+        handOver.cancel();
     }
 
     @Override
@@ -178,18 +178,26 @@
         }
     }
 
-    /** Handles the head of a successful response. */
-    void accepted(StreamAttempt from, int status, HeaderMap headers) {
+    /**
+     * Handles the head of a successful response.
+     *
+     * @return whether the body may be read; if not, the attempt is resumed or cancelled later
+     */
+    boolean accepted(StreamAttempt from, int status, HeaderMap headers) {
         hasRun = true;
         if (handOver.isNext(from)) {
+            if (!handOver.accept(from)) {
+                return false;
+            }
             StreamAttempt previous = current;
             current = from;
             current.skipTo(lastId);
-            handOver.accepted(previous);
+            handOver.completed(previous);
         }
         if (!response().isStarted()) {
             startForwarding(status, headers);
         }
+        return true;
     }
 
     /** Handles events that the caller does not have yet. */
@@ -235,14 +243,16 @@
         }
         long now = ControlLoop.now();
         traffic().crashDetector().connectionBroke(from.server(), request(), progress(from, now), now);
-        if (handOver.isPending()) {
+        if (handOver.pending().isPresent()) {
             // The second server continues the stream, or its hand-over times out.
+            handOver.stopRun(from, handOver.pending().get());
             return;
         }
         Optional<FleetServer> copy = handOver.backup();
         // A stream without events may have crashed its server, and would crash the next one.
         if (copy.isPresent() && times.hasEvents()) {
             traffic().log().repeated(request(), from.server(), why);
+            handOver.stopRun(from, copy.get());
             handOver.continueFromBackup(copy.get());
         } else {
             failAsLost(why);
