Order the incarnations of a server by the store's revision

Cause: FleetController compared the start times of two incarnations before the revisions of their registrations, so everything that the new one wrote was taken for delayed. LeavingServers ignored its announcements likewise.

Change: the greater revision is newer. Within an incarnation the server's own count orders as before. A write of an incarnation that was replaced may still be carried out late, so such incarnations are kept and ignored. Announcements hold for each incarnation by itself. ofAnEarlierIncarnationChangesNothing asked for the fault; ofAnIncarnationThatWasReplacedChangesNothing and ofANewIncarnationIsUsedAlthoughItsClockWasSetBack replace it. The same holds for one line of ofAnEarlierIncarnationDoesNotReplaceALaterOne.

--- a/core/src/main/java/io/hornbeamscale/core/eligibility/LeavingServers.java
+++ b/core/src/main/java/io/hornbeamscale/core/eligibility/LeavingServers.java
@@ -2,30 +2,39 @@
 
 import io.hornbeamscale.core.fleet.FleetServer;
 import io.hornbeamscale.core.fleet.ServerRegistration;
+import java.util.ArrayDeque;
+import java.util.Deque;
 import java.util.HashMap;
 import java.util.Map;
 
 /**
- * The incarnations of servers that have announced in a response that they leave. The announcement holds until the
- * server is known to have started again: a registration of the same incarnation may have been written before the
- * announcement and arrive after it. Not safe for use by several threads.
+ * The incarnations of servers that have announced in a response that they leave. The announcement holds for that
+ * incarnation: a registration of the same incarnation may have been written before the announcement and arrive after
+ * it. The clock of a server may be set back between two starts, so start times have no order. Not safe for use by
+ * several threads.
  */
 final class LeavingServers {
-    private final Map<String, ServerRegistration> announced = new HashMap<>();
+    /** How many incarnations are kept for a server; a late response is of one of the last ones. */
+    private static final int MAX_INCARNATIONS = 8;
+
+    private final Map<String, Deque<ServerRegistration>> announced = new HashMap<>();
 
     /** Records an announcement. Returns whether it is new; one of an earlier incarnation may arrive late. */
     boolean announced(FleetServer server) {
-        ServerRegistration found = server.registration();
-        ServerRegistration before = announced.get(server.id());
-        boolean isKnown = before != null && (found.isSameIncarnation(before) || found.isOlderThan(before));
-        if (!isKnown) {
-            announced.put(server.id(), found);
+        if (isLeaving(server)) {
+            return false;
+        }
+        Deque<ServerRegistration> known = announced.computeIfAbsent(server.id(), id -> new ArrayDeque<>());
+        known.add(server.registration());
+        if (known.size() > MAX_INCARNATIONS) {
+            known.remove();
         }
-        return !isKnown;
+        return true;
     }
 
     boolean isLeaving(FleetServer server) {
-        return server.registration().isSameIncarnation(announced.get(server.id()));
+        Deque<ServerRegistration> known = announced.get(server.id());
+        return known != null && known.stream().anyMatch(server.registration()::isSameIncarnation);
     }
 
     void forget(String server) {
--- a/core/src/main/java/io/hornbeamscale/core/fleet/FleetController.java
+++ b/core/src/main/java/io/hornbeamscale/core/fleet/FleetController.java
@@ -29,6 +29,7 @@
     static final long REMOVED_RETENTION_MILLIS = 60_000;
 
     private final Map<String, TrackedServer> servers = new HashMap<>();
+    private final EarlierIncarnations earlier = new EarlierIncarnations();
     private boolean isStoreUnavailable = true;
     private boolean isRetryFailed;
     private long storeLostMillis;
@@ -39,7 +40,8 @@
     private boolean isChanged;
 
     /**
-     * Handles a registration. A registration that is not newer than the known one has no effect.
+     * Handles a registration. A registration that is not newer than the known one has no effect. Of two incarnations of
+     * a server, the one with the greater revision in the store is the newer one, unless it was replaced before.
      *
      * @param registration the registration, not null
      * @param revision the revision of the registration in the store
@@ -51,7 +53,7 @@
         if (tracked != null && revision <= tracked.revision) {
             return;
         }
-        if (tracked != null && registration.isOlderThan(tracked.registration)) {
+        if (tracked != null && isDelayed(registration, tracked.registration)) {
             // A delayed registration must not override a later one.
             servers.put(
                     registration.id(),
@@ -63,6 +65,9 @@
                             tracked.coldUntilMillis));
             return;
         }
+        if (tracked != null && tracked.registration.startedAtMillis() != registration.startedAtMillis()) {
+            earlier.add(tracked.registration);
+        }
         long leavingSince = 0;
         if (registration.isDraining()) {
             boolean isAlreadyLeaving = tracked != null
@@ -209,8 +214,13 @@
                 isChanged = true;
             }
         }
-        isChanged |= servers.values()
-                .removeIf(s -> s.removedAtMillis > 0 && nowMillis - s.removedAtMillis > REMOVED_RETENTION_MILLIS);
+        isChanged |= servers.values().removeIf(s -> {
+            boolean isForgotten = s.removedAtMillis > 0 && nowMillis - s.removedAtMillis > REMOVED_RETENTION_MILLIS;
+            if (isForgotten) {
+                earlier.forget(s.registration.id());
+            }
+            return isForgotten;
+        });
     }
 
     /**
@@ -234,6 +244,13 @@
         return snapshot;
     }
 
+    /** Returns whether a registration with a greater revision is older than the known one all the same. */
+    private boolean isDelayed(ServerRegistration registration, ServerRegistration known) {
+        return registration.startedAtMillis() == known.startedAtMillis()
+                ? registration.sequence() < known.sequence()
+                : earlier.contains(registration);
+    }
+
     private TrackedServer withoutRegistration(TrackedServer tracked, long revision, long nowMillis) {
         boolean mayHaveLapsed = tracked.leavingSinceMillis == 0 && isInGrace(nowMillis);
         long leavingSince = tracked.leavingSinceMillis;
--- a/core/src/main/java/io/hornbeamscale/core/fleet/ServerRegistration.java
+++ b/core/src/main/java/io/hornbeamscale/core/fleet/ServerRegistration.java
@@ -34,18 +34,6 @@
         Arguments.positive(slots, "slots");
     }
 
-    /**
-     * Returns whether this registration was made before another one of the same server.
-     *
-     * @param other the other registration, not null
-     * @return whether this registration is of an earlier incarnation, or earlier in the same incarnation
-     */
-    public boolean isOlderThan(ServerRegistration other) {
-        return startedAtMillis != other.startedAtMillis
-                ? startedAtMillis < other.startedAtMillis
-                : sequence < other.sequence;
-    }
-
     /**
      * Returns whether another registration is of the same incarnation of the same server.
      *
