Take a body that cannot be parsed for malformed as well

Cause: only a head that the HTTP client cannot parse counted as malformed; a chunk size without end counted as a lost connection, so its request could still be suspected of a crash.

Change: both places where the HTTP client reports an error ask the same method.

Result: EndlessResponseTest (daemon), 15 of 15 pass, with a new case for chunk sizes. That case was not run on the code before.

--- a/daemon/src/main/java/io/hornbeamscale/daemon/BackendHttpClient.java
+++ b/daemon/src/main/java/io/hornbeamscale/daemon/BackendHttpClient.java
@@ -158,7 +158,12 @@
 
         @Override
         public void failed(IOException e) {
-            call.failed(connection.channel().isEnded() ? e : new MalformedResponseException(e));
+            call.failed(classify(e));
+        }
+
+        /** The HTTP client has one kind of exception for a lost connection and for a response that it cannot parse. */
+        private IOException classify(IOException e) {
+            return connection.channel().isEnded() ? e : new MalformedResponseException(e);
         }
 
         private void read(StreamSourceChannel source, ByteBuffer buffer) {
@@ -180,7 +185,7 @@
                     call.body(buffer);
                 }
             } catch (IOException e) {
-                call.failed(e);
+                call.failed(classify(e));
             }
         }
 
--- a/daemon/src/test/java/io/hornbeamscale/daemon/EndlessResponseTest.java
+++ b/daemon/src/test/java/io/hornbeamscale/daemon/EndlessResponseTest.java
@@ -104,6 +104,7 @@
                 "no HTTP||x",
                 "body of a failure|HTTP/1.1 500 Error\\r\\n\\r\\n|x",
                 "event|HTTP/1.1 200 OK\\r\\n\\r\\nid: 0\\ndata: |x",
+                "chunk size|HTTP/1.1 200 OK\\r\\nTransfer-Encoding: chunked\\r\\n\\r\\n|x",
                 "malformed event|HTTP/1.1 200 OK\\r\\n\\r\\nid: 0\\ndata: x\\n\\n|x"
             })
     void isNotBlamedOnItsRequest(String name, String begins, String repeats) throws Exception {
